Decide fairly and truthfully in plain state machines

Cause: the repository was empty; the design starts from admission beside each target, late binding by grants and counters that merge without loss. Change: rules file (parse, print, diff, explain), wire messages, fair tables, sidecar and router state machines, rules store, membership choices. Conclusion: the crate builds; the whole path over sockets comes next.

--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,130 @@
+//! The rules in force and how they spread between processes.
+
+use std::rc::Rc;
+
+use derive_more::{
+    Display,
+    Error, //
+};
+
+use crate::{
+    ids::Generation,
+    rules::{
+        self,
+        Rules, //
+    },
+    wire::Version,
+};
+
+/// Why a text does not come into force.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Error {
+    /// The text is not a valid rules file.
+    #[display("{_0}")]
+    Invalid(rules::Errors),
+    /// The text is older than the rules in force.
+    #[display("generation {offered} is older than generation {current}, which is in force")]
+    Older {
+        /// The generation of the text.
+        offered: Generation,
+        /// The generation in force.
+        current: Generation,
+    },
+    /// Another text of the same generation is in force.
+    #[display("generation {_0} is in force with another text")]
+    Conflict(#[error(not(source))] Generation),
+}
+
+/// What follows from the version that a peer has in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Both have the same rules.
+    Same,
+    /// The peer has newer rules; ask for them.
+    Fetch,
+    /// The peer has older rules; it will ask.
+    Wait,
+    /// Both have the same generation with other texts.
+    Conflict,
+}
+
+/// The rules in force at one process; they never revert while it lives.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    text: Rc<str>,
+    rules: Rc<Rules>,
+}
+
+impl Store {
+    /// Returns the rules in force.
+    pub fn rules(&self) -> &Rc<Rules> {
+        &self.rules
+    }
+
+    /// Returns the text in force.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns the version in force; generation zero means none.
+    pub fn version(&self) -> Version {
+        Version {
+            generation: self.rules.generation(),
+            digest: self.rules.digest(),
+        }
+    }
+
+    /// Brings a text into force and returns whether it changed the rules.
+    ///
+    /// ```
+    /// use redwingyard::config::Store;
+    /// let mut store = Store::default();
+    /// assert!(store.offer("generation 2 # kim\n")?);
+    /// assert!(!store.offer("generation 2 # kim\n")?);
+    /// assert!(store.offer("generation 1 # kim\n").is_err());
+    /// # Ok::<(), redwingyard::config::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails where the text is invalid, older than what is in force, or another text of
+    /// the same generation. What was in force stays in force.
+    pub fn offer(&mut self, text: &str) -> Result<bool, Error> {
+        let rules = rules::from_str(text).map_err(Error::Invalid)?;
+        let current = self.version();
+        if rules.generation() < current.generation {
+            return Err(Error::Older {
+                offered: rules.generation(),
+                current: current.generation,
+            });
+        }
+        if rules.generation() == current.generation {
+            return match rules.digest() == current.digest {
+                true => Ok(false),
+                false => Err(Error::Conflict(current.generation)),
+            };
+        }
+        self.text = text.into();
+        self.rules = Rc::new(rules);
+        Ok(true)
+    }
+
+    /// Compares with the version that a peer has in force.
+    ///
+    /// ```
+    /// use redwingyard::{config::{Step, Store}, wire::Version};
+    /// let store = Store::default();
+    /// assert_eq!(store.compare(Version { generation: 3, digest: 9 }), Step::Fetch);
+    /// ```
+    pub fn compare(&self, peer: Version) -> Step {
+        let current = self.version();
+        if peer == current {
+            return Step::Same;
+        }
+        match peer.generation.cmp(&current.generation) {
+            std::cmp::Ordering::Greater => Step::Fetch,
+            std::cmp::Ordering::Less => Step::Wait,
+            std::cmp::Ordering::Equal => Step::Conflict,
+        }
+    }
+}
--- /dev/null
+++ b/src/fair/mod.rs
@@ -0,0 +1,36 @@
+//! The order of accounts by the service that they have received from the fleet.
+//!
+//! A sidecar decides with a [`View`]; routers keep a [`Table`] for each service, exchange
+//! it along a tree and tell sidecars the standings that they need. Service is counted in
+//! slot time divided by share, so the account with the least is served next. The rules
+//! follow start-time fair queueing (Goyal, Vin and Cheng, 1996) and the virtual token
+//! counter (Sheng et al., OSDI 2024).
+
+mod table;
+mod view;
+
+pub use table::{
+    EXCHANGE_INTERVAL,
+    Table, //
+};
+pub use view::{
+    REPORT_INTERVAL,
+    View, //
+};
+
+use std::time::Duration;
+
+use crate::ids::Usage;
+
+/// The largest lead that one backlogged account may have over another, in usage.
+pub const MAX_LEAD: Usage = 120_000_000;
+
+/// Converts slot time into usage.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(redwingyard::fair::usage(Duration::from_millis(6), 3), 2_000);
+/// ```
+pub fn usage(time: Duration, share: u32) -> Usage {
+    time.as_micros() as Usage / Usage::from(share.max(1))
+}
--- /dev/null
+++ b/src/fair/view.rs
@@ -0,0 +1,178 @@
+//! A sidecar's view of the service that accounts have received.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use super::MAX_LEAD;
+use crate::{
+    ids::{
+        Account,
+        Router,
+        Usage, //
+    },
+    wire::{
+        Report,
+        Tally,
+        Totals, //
+    },
+};
+
+/// The interval between two reports of a sidecar.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a sidecar knows of the service that accounts have received.
+///
+/// The usage of an account is what the home router told, plus what this sidecar has
+/// given since and the router has not yet included.
+#[derive(Debug, Default)]
+pub struct View {
+    told: BTreeMap<Account, Usage>,
+    pending: BTreeMap<Account, Usage>,
+    batch: BTreeMap<Account, Usage>,
+    hints: BTreeMap<Account, (Usage, Router)>,
+    sequence: u64,
+    level: Usage,
+}
+
+impl View {
+    /// Returns the usage of an account.
+    pub fn usage(&self, account: Account) -> Usage {
+        [&self.told, &self.pending, &self.batch]
+            .iter()
+            .filter_map(|map| map.get(&account))
+            .sum()
+    }
+
+    /// Adds service given by this sidecar.
+    ///
+    /// ```
+    /// let mut view = redwingyard::fair::View::default();
+    /// view.charge(7, 250);
+    /// assert_eq!(view.usage(7), 250);
+    /// ```
+    pub fn charge(&mut self, account: Account, usage: Usage) {
+        if usage > 0 {
+            *self.pending.entry(account).or_default() += usage;
+        }
+    }
+
+    /// Returns the account to serve next out of backlogged ones with their advances.
+    ///
+    /// The advance is the expected usage of requests that already run here.
+    ///
+    /// ```
+    /// let mut view = redwingyard::fair::View::default();
+    /// view.charge(1, 10);
+    /// view.charge(2, 30);
+    /// assert_eq!(view.next([(1, 0), (2, 0)].into_iter()), Some(1));
+    /// assert_eq!(view.next([(1, 50), (2, 0)].into_iter()), Some(2));
+    /// ```
+    pub fn next(&self, accounts: impl Iterator<Item = (Account, Usage)>) -> Option<Account> {
+        accounts
+            .min_by_key(|(account, advance)| (self.usage(*account) + advance, *account))
+            .map(|(account, _)| account)
+    }
+
+    /// Advances virtual time to the usage of an account that is being served.
+    pub fn serve(&mut self, account: Account) {
+        self.level = self.level.max(self.usage(account));
+    }
+
+    /// Levels an account that comes back from idleness with those in `backlogged`.
+    ///
+    /// ```
+    /// let mut view = redwingyard::fair::View::default();
+    /// view.charge(1, 500);
+    /// view.enter(2, [1].into_iter());
+    /// assert_eq!(view.usage(2), 500);
+    /// ```
+    pub fn enter(&mut self, account: Account, backlogged: impl Iterator<Item = Account>) {
+        let least = backlogged
+            .filter(|other| *other != account)
+            .map(|other| self.usage(other))
+            .min();
+        self.raise(account, least.unwrap_or(self.level));
+    }
+
+    /// Bounds the lead of any account of `backlogged` over another.
+    pub fn bound(&mut self, backlogged: impl Iterator<Item = Account> + Clone) {
+        let most = backlogged.clone().map(|account| self.usage(account)).max();
+        let floor = most.unwrap_or(0).saturating_sub(MAX_LEAD);
+        for account in backlogged {
+            self.raise(account, floor);
+        }
+    }
+
+    /// Returns the router where the account with the least service waits, if the lead
+    /// of `least`, the least usage seen here, over it exceeds `lead`.
+    pub fn hint(&self, least: Option<Usage>, lead: Usage) -> Option<Router> {
+        let (usage, router) = self.hints.values().min()?;
+        let behind = least.is_none_or(|least| usage + lead < least);
+        behind.then_some(*router)
+    }
+
+    /// Returns the report to send; the same one until it is acknowledged.
+    pub fn report(&mut self, wanted: Vec<Account>) -> Report {
+        if self.batch.is_empty() {
+            self.sequence += 1;
+            self.batch = std::mem::take(&mut self.pending);
+        }
+        let tallies = self.batch.iter().map(|(account, usage)| Tally {
+            account: *account,
+            usage: *usage,
+        });
+        Report {
+            sequence: self.sequence,
+            level: self.level,
+            tallies: tallies.collect(),
+            wanted,
+        }
+    }
+
+    /// Takes in the standings that the home router tells.
+    pub fn totals(&mut self, totals: &Totals) {
+        let acked = totals.sequence == self.sequence;
+        let batch = match acked {
+            true => std::mem::take(&mut self.batch),
+            false => BTreeMap::new(),
+        };
+        for (account, usage) in batch {
+            *self.told.entry(account).or_default() += usage;
+        }
+        self.hints.clear();
+        for standing in &totals.standings {
+            let told = self.told.entry(standing.account).or_default();
+            // A router's figure excludes an unacknowledged batch, so the sum stays exact.
+            *told = (*told).max(standing.usage);
+            if let Some(router) = standing.router {
+                self.hints
+                    .insert(standing.account, (standing.usage, router));
+            }
+        }
+        self.level = self.level.max(totals.level);
+    }
+
+    /// Starts again with another home router, whose figures replace the old ones.
+    pub fn rehome(&mut self) {
+        self.hints.clear();
+    }
+
+    /// Returns the accounts whose figures are kept.
+    pub fn len(&self) -> usize {
+        self.told.len()
+    }
+
+    /// Returns whether no account's figures are kept.
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+
+    fn raise(&mut self, account: Account, floor: Usage) {
+        let missing = floor.saturating_sub(self.usage(account));
+        if missing > 0 {
+            *self.told.entry(account).or_default() += missing;
+        }
+    }
+}
--- /dev/null
+++ b/src/router/event.rs
@@ -0,0 +1,102 @@
+//! The log lines of a router.
+
+use derive_more::Display;
+
+use super::{
+    Cause,
+    Ran, //
+};
+use crate::{
+    ids::{
+        Account,
+        Target, //
+    },
+    wire::{
+        Reason,
+        RequestId, //
+    },
+};
+
+/// What a router decided, as one line of key=value pairs.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Event {
+    /// A request was handed to a target.
+    #[display(
+        "event=route request={id} account={account:08x} target={target:08x} why={why} \
+         waited_us={waited} share_line={share} write_line={write}"
+    )]
+    Route {
+        /// The attempt.
+        id: RequestId,
+        /// The account.
+        account: Account,
+        /// The target.
+        target: Target,
+        /// `grant` or `offer`.
+        why: &'static str,
+        /// The time since its arrival in microseconds.
+        waited: u128,
+        /// The rules line that gives the account its share, or zero.
+        share: usize,
+        /// The rules line that makes it non-idempotent, or zero.
+        write: usize,
+    },
+    /// A sidecar sent an attempt back.
+    #[display("event=return request={id} target={target:08x} reason={reason}")]
+    Return {
+        /// The attempt.
+        id: RequestId,
+        /// The target.
+        target: Target,
+        /// Why.
+        reason: Reason,
+    },
+    /// An idempotent request whose outcome is unknown is tried again.
+    #[display("event=retry request={id} target={target:08x}")]
+    Retry {
+        /// The attempt that was lost.
+        id: RequestId,
+        /// The target that had it.
+        target: Target,
+    },
+    /// An attempt was asked about on a new link.
+    #[display("event=resume request={id} target={target:08x} offset={offset}")]
+    Resume {
+        /// The attempt.
+        id: RequestId,
+        /// The target.
+        target: Target,
+        /// The body bytes that the caller has.
+        offset: u64,
+    },
+    /// A request was refused.
+    #[display("event=refuse request={id} account={account:08x} cause={cause} ran={ran}")]
+    Refuse {
+        /// The last attempt.
+        id: RequestId,
+        /// The account.
+        account: Account,
+        /// Why.
+        cause: Cause,
+        /// Whether it ran.
+        ran: Ran,
+    },
+    /// An answer broke off after its first bytes.
+    #[display("event=break request={id} received={received}")]
+    Break {
+        /// The attempt.
+        id: RequestId,
+        /// The body bytes that the caller has.
+        received: u64,
+    },
+    /// An answer is complete.
+    #[display("event=done request={id} bytes={bytes} took_us={took}")]
+    Done {
+        /// The attempt.
+        id: RequestId,
+        /// The length of its body.
+        bytes: u64,
+        /// The time since its arrival in microseconds.
+        took: u128,
+    },
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,30 @@
+//! The decisions of a router: queues, hand-over to targets, retries and answers.
+
+mod budget;
+mod core;
+mod event;
+mod probe;
+mod queue;
+mod reply;
+mod request;
+
+pub use budget::Budget;
+pub use core::{
+    Input,
+    Output,
+    Router,
+    Settings, //
+};
+pub use event::Event;
+pub use queue::{
+    Bounds,
+    Queues,
+    Waiter, //
+};
+pub use reply::{
+    Cause,
+    Ran,
+    Refusal,
+    Reply, //
+};
+pub use request::Ask;
--- /dev/null
+++ b/src/rules/error.rs
@@ -0,0 +1,50 @@
+//! Errors of the rules file, each with its line and column.
+
+use derive_more::{
+    Display,
+    Error, //
+};
+
+/// The kind of an error in a rules file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Category {
+    /// The line is not of a known form.
+    #[display("syntax")]
+    Syntax,
+    /// A value is outside its range or contradicts another line.
+    #[display("data")]
+    Data,
+    /// The line does not name who asked for it.
+    #[display("attribution")]
+    Attribution,
+}
+
+/// One error in a rules file.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("line {line} column {column}: {detail}")]
+pub struct Error {
+    /// What kind of error it is.
+    pub category: Category,
+    /// The line, counted from one.
+    pub line: usize,
+    /// The column in characters, counted from one.
+    pub column: usize,
+    /// What is wrong.
+    pub detail: String,
+}
+
+/// Every error of a rules file, in the order of its lines.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub struct Errors(#[error(not(source))] pub Vec<Error>);
+
+impl std::fmt::Display for Errors {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (i, err) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{err}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/rules/explain.rs
@@ -0,0 +1,67 @@
+//! Answers to "which line decides this, and who asked for it?".
+
+use super::{
+    Entry,
+    Rules, //
+};
+use crate::ids::id;
+
+/// Explains an account's share of every service.
+///
+/// ```
+/// use redwingyard::rules;
+/// let rules = rules::from_str("generation 1 # kim\ntarget api t # kim\nshare * a 3 # mei\n")?;
+/// assert_eq!(rules::explain_account(&rules, "a"), ["api: line 3: share * a 3  # mei"]);
+/// # Ok::<(), rules::Errors>(())
+/// ```
+pub fn explain_account(rules: &Rules, account: &str) -> Vec<String> {
+    if !rules.has_account(id(account)) {
+        return Vec::new();
+    }
+    let mut services: Vec<_> = rules.members().map(|(service, _)| service).collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+        .into_iter()
+        .filter_map(|service| {
+            let entry = rules.share_entry(id(service), id(account))?;
+            Some(format!("{service}: {}", line(entry)))
+        })
+        .collect()
+}
+
+/// Explains why a target serves and whether it is leaving.
+///
+/// ```
+/// use redwingyard::rules;
+/// let rules = rules::from_str("generation 1 # kim\ntarget api t # kim\n")?;
+/// assert_eq!(rules::explain_target(&rules, "t"), ["line 2: target api t  # kim"]);
+/// # Ok::<(), rules::Errors>(())
+/// ```
+pub fn explain_target(rules: &Rules, target: &str) -> Vec<String> {
+    let target = id(target);
+    let entries = [rules.target_entry(target), rules.leaving_entry(target)];
+    entries.into_iter().flatten().map(line).collect()
+}
+
+/// Explains whether a request is idempotent.
+///
+/// ```
+/// use redwingyard::rules;
+/// let rules = rules::from_str("generation 1 # kim\nwrite api POST /a # ann\n")?;
+/// let text = rules::explain_request(&rules, "POST", "/api/a");
+/// assert_eq!(text, "non-idempotent: line 2: write api POST /a  # ann");
+/// # Ok::<(), rules::Errors>(())
+/// ```
+pub fn explain_request(rules: &Rules, method: &str, path: &str) -> String {
+    let trimmed = path.trim_start_matches('/');
+    let (service, rest) = trimmed.split_at(trimmed.find('/').unwrap_or(trimmed.len()));
+    match rules.write_entry(service, method, rest) {
+        Some(entry) => format!("non-idempotent: {}", line(entry)),
+        None => "idempotent: no line makes it a write".to_owned(),
+    }
+}
+
+fn line(entry: &Entry) -> String {
+    format!("line {}: {entry}", entry.line)
+}
--- /dev/null
+++ b/src/rules/model.rs
@@ -0,0 +1,251 @@
+//! The parsed rules file and the look-ups that processes make in it.
+
+use std::collections::HashMap;
+
+use crate::ids::{
+    Account,
+    Generation,
+    Service,
+    Target,
+    id, //
+};
+
+/// The largest rules file in bytes, the limit of the configuration service's values.
+pub const MAX_TEXT: usize = 1 << 20;
+
+/// The largest share that an account can have.
+pub const MAX_SHARE: u32 = 10_000;
+
+/// The name that stands for every service, account or method.
+pub(crate) const ANY: &str = "*";
+
+data! {
+    /// What one line of the rules file says.
+    #[serde(rename_all = "snake_case")]
+    pub enum Rule {
+        /// The number of the file.
+        Generation(Generation),
+        /// An account's share of a service.
+        Share {
+            /// The service, or `*` for all of them.
+            service: String,
+            /// The account, or `*` for those without a line of their own.
+            account: String,
+            /// The share; capacity is divided in proportion to it.
+            weight: u32,
+        },
+        /// Requests that are non-idempotent.
+        Write {
+            /// The service.
+            service: String,
+            /// The HTTP method, or `*` for all of them.
+            method: String,
+            /// The path pattern; `*` is one segment and a last `**` is any rest.
+            path: String,
+        },
+        /// A target of a service.
+        Target {
+            /// The service.
+            service: String,
+            /// The target.
+            target: String,
+        },
+        /// A target that gets no new work.
+        Leaving {
+            /// The target.
+            target: String,
+        },
+    }
+
+    /// One rule with its place and the person who asked for it.
+    pub struct Entry {
+        /// The line, counted from one.
+        pub line: usize,
+        /// What the line says.
+        pub rule: Rule,
+        /// Who asked for it.
+        pub asker: String,
+        /// Why, or an empty text.
+        pub reason: String,
+    }
+}
+
+/// A valid rules file.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    entries: Vec<Entry>,
+    generation: Generation,
+    digest: u64,
+    shares: HashMap<(Service, Account), usize>,
+    accounts: HashMap<Account, usize>,
+    targets: HashMap<Target, usize>,
+    leaving: HashMap<Target, usize>,
+}
+
+impl PartialEq for Rules {
+    fn eq(&self, other: &Self) -> bool {
+        self.entries == other.entries
+    }
+}
+
+impl Rules {
+    pub(super) fn new(entries: Vec<Entry>, digest: u64) -> Self {
+        let mut rules = Self {
+            digest,
+            ..Self::default()
+        };
+        for (i, entry) in entries.iter().enumerate() {
+            match &entry.rule {
+                Rule::Generation(number) => rules.generation = *number,
+                Rule::Share {
+                    service, account, ..
+                } => {
+                    rules.shares.insert((id(service), id(account)), i);
+                    if account != ANY {
+                        rules.accounts.insert(id(account), i);
+                    }
+                }
+                Rule::Target { target, .. } => {
+                    rules.targets.insert(id(target), i);
+                }
+                Rule::Leaving { target } => {
+                    rules.leaving.insert(id(target), i);
+                }
+                Rule::Write { .. } => {}
+            }
+        }
+        rules.entries = entries;
+        rules
+    }
+
+    /// Returns the rules in the order of the file.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// Returns the number of the file, or zero for the empty default.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Returns the digest of the file's text.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns whether any line names the account.
+    pub fn has_account(&self, account: Account) -> bool {
+        self.accounts.contains_key(&account)
+    }
+
+    /// Returns whether any line gives the service a target.
+    pub fn has_service(&self, service: Service) -> bool {
+        self.members().any(|(name, _)| id(name) == service)
+    }
+
+    /// Returns the entry that decides an account's share, the most specific one.
+    ///
+    /// ```
+    /// use redwingyard::{ids::id, rules};
+    /// let rules = rules::from_str("generation 1 # kim\nshare * a 3 # kim\n")?;
+    /// assert_eq!(rules.share_entry(id("api"), id("a")).unwrap().line, 2);
+    /// # Ok::<(), rules::Errors>(())
+    /// ```
+    pub fn share_entry(&self, service: Service, account: Account) -> Option<&Entry> {
+        let any = id(ANY);
+        [
+            (service, account),
+            (any, account),
+            (service, any),
+            (any, any),
+        ]
+        .iter()
+        .find_map(|key| self.shares.get(key))
+        .map(|i| &self.entries[*i])
+    }
+
+    /// Returns an account's share of a service; one where no line decides it.
+    ///
+    /// ```
+    /// use redwingyard::{ids::id, rules};
+    /// let rules = rules::from_str("generation 1 # kim\nshare * a 3 # kim\n")?;
+    /// assert_eq!(rules.share(id("api"), id("a")), 3);
+    /// # Ok::<(), rules::Errors>(())
+    /// ```
+    pub fn share(&self, service: Service, account: Account) -> u32 {
+        match self.share_entry(service, account).map(|entry| &entry.rule) {
+            Some(Rule::Share { weight, .. }) => *weight,
+            _ => 1,
+        }
+    }
+
+    /// Returns the entry that makes a request non-idempotent.
+    ///
+    /// ```
+    /// use redwingyard::rules;
+    /// let rules = rules::from_str("generation 1 # kim\nwrite api POST /seats/* # ann\n")?;
+    /// assert!(rules.write_entry("api", "POST", "/seats/7").is_some());
+    /// assert!(rules.write_entry("api", "GET", "/seats/7").is_none());
+    /// # Ok::<(), rules::Errors>(())
+    /// ```
+    pub fn write_entry(&self, service: &str, method: &str, path: &str) -> Option<&Entry> {
+        self.entries.iter().find(|entry| match &entry.rule {
+            Rule::Write {
+                service: s,
+                method: m,
+                path: p,
+            } => (s == service || s == ANY) && (m == method || m == ANY) && matches(p, path),
+            _ => false,
+        })
+    }
+
+    /// Returns the entry that lists a target.
+    pub fn target_entry(&self, target: Target) -> Option<&Entry> {
+        self.targets.get(&target).map(|i| &self.entries[*i])
+    }
+
+    /// Returns the entry that makes a target leave.
+    pub fn leaving_entry(&self, target: Target) -> Option<&Entry> {
+        self.leaving.get(&target).map(|i| &self.entries[*i])
+    }
+
+    /// Returns each target with its service.
+    pub fn members(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.entries.iter().filter_map(|entry| match &entry.rule {
+            Rule::Target { service, target } => Some((service.as_str(), target.as_str())),
+            _ => None,
+        })
+    }
+
+    /// Returns the target that owns an idempotency key, among those that stay.
+    ///
+    /// ```
+    /// use redwingyard::{ids::id, rules};
+    /// let rules = rules::from_str("generation 1 # kim\ntarget api api-1 # kim\n")?;
+    /// assert_eq!(rules.key_owner(id("api"), 99), Some(id("api-1")));
+    /// # Ok::<(), rules::Errors>(())
+    /// ```
+    pub fn key_owner(&self, service: Service, key: u64) -> Option<Target> {
+        self.members()
+            .filter(|(name, _)| id(name) == service)
+            .map(|(_, target)| id(target))
+            .filter(|target| !self.leaving.contains_key(target))
+            .max_by_key(|target| crate::ids::weight(*target, key))
+    }
+}
+
+/// Returns whether a path matches a pattern, segment by segment.
+fn matches(pattern: &str, path: &str) -> bool {
+    let path = path.split('?').next().unwrap_or_default();
+    let mut segments = path.split('/');
+    for part in pattern.split('/') {
+        if part == "**" {
+            return true;
+        }
+        match segments.next() {
+            Some(segment) if part == ANY || part == segment => {}
+            _ => return false,
+        }
+    }
+    segments.next().is_none()
+}
--- /dev/null
+++ b/src/rules/parse.rs
@@ -0,0 +1,304 @@
+//! The parser of the rules file.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    Category,
+    Entry,
+    Error,
+    Errors,
+    MAX_SHARE,
+    MAX_TEXT,
+    Rule,
+    Rules,
+    model::ANY, //
+};
+use crate::ids::{
+    Generation,
+    id, //
+};
+
+const MAX_NAME: usize = 64;
+
+/// A word of a line with its column.
+#[derive(Clone, Copy)]
+struct Word<'a> {
+    text: &'a str,
+    column: usize,
+}
+
+/// Parses a rules file.
+///
+/// ```
+/// use redwingyard::rules;
+/// let errs = rules::from_str("generation 1\n").unwrap_err();
+/// assert_eq!(errs.to_string(), "line 1 column 13: no comment names who asked for this rule");
+/// ```
+///
+/// # Errors
+///
+/// Returns every error of the file at once, each with its line and column.
+pub fn from_str(text: &str) -> Result<Rules, Errors> {
+    if text.len() > MAX_TEXT {
+        let detail = format!("the file has {} bytes; {MAX_TEXT} are allowed", text.len());
+        return Err(Errors(vec![data(1, 1, detail)]));
+    }
+    let mut errs = Vec::new();
+    let mut entries = Vec::new();
+    for (i, line) in text.lines().enumerate() {
+        match parse_line(i + 1, line) {
+            Ok(Some(entry)) => entries.push(entry),
+            Ok(None) => {}
+            Err(err) => errs.push(err),
+        }
+    }
+    check(&entries, &mut errs);
+    if errs.is_empty() {
+        return Ok(Rules::new(entries, xxh3_64(text.as_bytes())));
+    }
+    errs.sort_by_key(|err| (err.line, err.column));
+    Err(Errors(errs))
+}
+
+fn parse_line(line: usize, text: &str) -> Result<Option<Entry>, Error> {
+    let (body, comment) = match text.split_once('#') {
+        Some((body, comment)) => (body, Some(comment)),
+        None => (text, None),
+    };
+    let words = split(body);
+    let Some(first) = words.first() else {
+        return Ok(None);
+    };
+    let rule = parse_rule(line, *first, &words[1..], body)?;
+    let (asker, reason) = parse_comment(line, body, comment)?;
+    Ok(Some(Entry {
+        line,
+        rule,
+        asker,
+        reason,
+    }))
+}
+
+fn split(body: &str) -> Vec<Word<'_>> {
+    let mut words = Vec::new();
+    let mut start = None;
+    for (column, (i, c)) in body.char_indices().enumerate() {
+        match (c.is_whitespace(), start) {
+            (false, None) => start = Some((i, column + 1)),
+            (true, Some((from, column))) => {
+                words.push(Word {
+                    text: &body[from..i],
+                    column,
+                });
+                start = None;
+            }
+            _ => {}
+        }
+    }
+    if let Some((from, column)) = start {
+        words.push(Word {
+            text: &body[from..],
+            column,
+        });
+    }
+    words
+}
+
+fn parse_rule(line: usize, verb: Word<'_>, args: &[Word<'_>], body: &str) -> Result<Rule, Error> {
+    let form = match verb.text {
+        "generation" => "generation NUMBER",
+        "share" => "share SERVICE ACCOUNT WEIGHT",
+        "write" => "write SERVICE METHOD PATH",
+        "target" => "target SERVICE TARGET",
+        "leaving" => "leaving TARGET",
+        other => {
+            let detail = format!("unknown rule {other:?}");
+            return Err(syntax(line, verb.column, detail));
+        }
+    };
+    let want = form.split(' ').count() - 1;
+    if args.len() != want {
+        let column = match args.get(want) {
+            Some(extra) => extra.column,
+            None => body.trim_end().chars().count() + 1,
+        };
+        return Err(syntax(line, column, format!("expected \"{form}\"")));
+    }
+    Ok(match verb.text {
+        "generation" => Rule::Generation(number(line, args[0], 1, Generation::MAX)?),
+        "share" => Rule::Share {
+            service: name(line, args[0], true)?,
+            account: name(line, args[1], true)?,
+            weight: number(line, args[2], 1, u64::from(MAX_SHARE))? as u32,
+        },
+        "write" => Rule::Write {
+            service: name(line, args[0], true)?,
+            method: method(line, args[1])?,
+            path: path(line, args[2])?,
+        },
+        "target" => Rule::Target {
+            service: name(line, args[0], false)?,
+            target: name(line, args[1], false)?,
+        },
+        _ => Rule::Leaving {
+            target: name(line, args[0], false)?,
+        },
+    })
+}
+
+fn number(line: usize, word: Word<'_>, min: u64, max: u64) -> Result<u64, Error> {
+    match word.text.parse() {
+        Ok(value) if (min..=max).contains(&value) => Ok(value),
+        _ => {
+            let detail = format!("{:?} is not a number from {min} to {max}", word.text);
+            Err(data(line, word.column, detail))
+        }
+    }
+}
+
+fn name(line: usize, word: Word<'_>, wildcard: bool) -> Result<String, Error> {
+    if wildcard && word.text == ANY {
+        return Ok(ANY.to_owned());
+    }
+    let plain = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+    if word.text.len() <= MAX_NAME && word.text.chars().all(plain) {
+        return Ok(word.text.to_owned());
+    }
+    let detail = format!(
+        "{:?} is not a name of at most {MAX_NAME} letters, digits, '.', '_' or '-'",
+        word.text
+    );
+    Err(syntax(line, word.column, detail))
+}
+
+fn method(line: usize, word: Word<'_>) -> Result<String, Error> {
+    if word.text == ANY || word.text.chars().all(|c| c.is_ascii_uppercase()) {
+        return Ok(word.text.to_owned());
+    }
+    let detail = format!("{:?} is not an HTTP method in capitals", word.text);
+    Err(syntax(line, word.column, detail))
+}
+
+fn path(line: usize, word: Word<'_>) -> Result<String, Error> {
+    let inner = word.text.strip_suffix("/**").unwrap_or(word.text);
+    let whole = |part: &str| part == ANY || !part.contains(ANY);
+    if word.text.starts_with('/') && !word.text.contains('?') && inner.split('/').all(whole) {
+        return Ok(word.text.to_owned());
+    }
+    let detail = format!(
+        "{:?} is not a path pattern: it starts with '/', '*' is a whole segment and '**' the last",
+        word.text
+    );
+    Err(syntax(line, word.column, detail))
+}
+
+fn parse_comment(
+    line: usize,
+    body: &str,
+    comment: Option<&str>,
+) -> Result<(String, String), Error> {
+    let Some(comment) = comment else {
+        let column = body.trim_end().chars().count() + 1;
+        return Err(unattributed(line, column));
+    };
+    let (asker, reason) = match comment.split_once(':') {
+        Some((asker, reason)) => (asker.trim(), reason.trim()),
+        None => (comment.trim(), ""),
+    };
+    if asker.is_empty() || asker.contains(char::is_whitespace) {
+        return Err(unattributed(line, body.chars().count() + 1));
+    }
+    Ok((asker.to_owned(), reason.to_owned()))
+}
+
+/// Reports contradictions between lines.
+fn check(entries: &[Entry], errs: &mut Vec<Error>) {
+    let mut seen = HashMap::new();
+    let mut names = HashMap::new();
+    let mut targets = HashMap::new();
+    for entry in entries {
+        if let Rule::Target { service, target } = &entry.rule {
+            targets.insert(target.clone(), service.clone());
+        }
+    }
+    for entry in entries {
+        if let Some(first) = seen.insert(subject(&entry.rule), entry.line) {
+            let detail = format!("this contradicts or repeats line {first}");
+            errs.push(data(entry.line, 1, detail));
+        }
+        for name in named(&entry.rule) {
+            let other = names.entry(id(name)).or_insert(name);
+            if *other != name {
+                let detail = format!("the identifiers of {name:?} and {other:?} collide");
+                errs.push(data(entry.line, 1, detail));
+            }
+        }
+        if let Rule::Leaving { target } = &entry.rule
+            && !targets.contains_key(target)
+        {
+            let detail = format!("no line makes {target:?} a target of a service");
+            errs.push(data(entry.line, "leaving ".len() + 1, detail));
+        }
+    }
+    let first = |entry: &Entry| matches!(entry.rule, Rule::Generation(_));
+    if !entries.iter().any(first) && errs.is_empty() {
+        errs.push(data(1, 1, "no line gives the generation".to_owned()));
+    }
+}
+
+/// Returns what only one line of a file may speak about.
+fn subject(rule: &Rule) -> String {
+    match rule {
+        Rule::Generation(_) => "generation".to_owned(),
+        Rule::Share {
+            service, account, ..
+        } => format!("share {service} {account}"),
+        Rule::Target { target, .. } => format!("target {target}"),
+        other => other.to_string(),
+    }
+}
+
+fn named(rule: &Rule) -> impl Iterator<Item = &str> {
+    let (first, second) = match rule {
+        Rule::Generation(_) => (None, None),
+        Rule::Share {
+            service, account, ..
+        } => (Some(service), Some(account)),
+        Rule::Write { service, .. } => (Some(service), None),
+        Rule::Target { service, target } => (Some(service), Some(target)),
+        Rule::Leaving { target } => (Some(target), None),
+    };
+    first.into_iter().chain(second).map(String::as_str)
+}
+
+#[cold]
+fn syntax(line: usize, column: usize, detail: String) -> Error {
+    Error {
+        category: Category::Syntax,
+        line,
+        column,
+        detail,
+    }
+}
+
+#[cold]
+fn data(line: usize, column: usize, detail: String) -> Error {
+    Error {
+        category: Category::Data,
+        line,
+        column,
+        detail,
+    }
+}
+
+#[cold]
+fn unattributed(line: usize, column: usize) -> Error {
+    Error {
+        category: Category::Attribution,
+        line,
+        column,
+        detail: "no comment names who asked for this rule".to_owned(),
+    }
+}
--- /dev/null
+++ b/src/sidecar/event.rs
@@ -0,0 +1,73 @@
+//! The log lines of a sidecar.
+
+use derive_more::Display;
+
+use crate::{
+    ids::{
+        Account,
+        Incarnation,
+        Router,
+        Usage, //
+    },
+    wire::{
+        Reason,
+        RequestId, //
+    },
+};
+
+/// What a sidecar decided, as one line of key=value pairs.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Event {
+    /// A slot was granted to the account with the least service.
+    #[display("event=grant grant={grant} account={account:08x} router={router:08x} usage={usage}")]
+    Grant {
+        /// The grant.
+        grant: u64,
+        /// The account.
+        account: Account,
+        /// The router where its request waits.
+        router: Router,
+        /// The account's usage.
+        usage: Usage,
+    },
+    /// An attempt was admitted.
+    #[display("event=admit request={id} account={account:08x} via={via}")]
+    Admit {
+        /// The attempt.
+        id: RequestId,
+        /// The account.
+        account: Account,
+        /// `grant` or `offer`.
+        via: &'static str,
+    },
+    /// An attempt was refused.
+    #[display("event=refuse request={id} reason={reason}")]
+    Refuse {
+        /// The attempt.
+        id: RequestId,
+        /// Why.
+        reason: Reason,
+    },
+    /// The target failed.
+    #[display("event=target-failed request={id} slots={slots}")]
+    Failed {
+        /// The attempt.
+        id: RequestId,
+        /// The limit that is left.
+        slots: u32,
+    },
+    /// A router that has backlog was looked for.
+    #[display("event=seek router={router:08x}")]
+    Seek {
+        /// The router.
+        router: Router,
+    },
+    /// A router went away and its idempotent attempts were aborted.
+    #[display("event=orphan router-incarnation={incarnation:x} aborted={aborted}")]
+    Orphan {
+        /// The router's incarnation.
+        incarnation: Incarnation,
+        /// The attempts.
+        aborted: usize,
+    },
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,29 @@
+//! The decisions of a sidecar: admission to its target and the outcome of each attempt.
+
+mod answer;
+mod core;
+mod event;
+mod key;
+mod limit;
+mod record;
+
+pub use answer::Answer;
+pub use core::{
+    Input,
+    Output,
+    Settings,
+    Sidecar, //
+};
+pub use event::Event;
+pub use key::{
+    KEY_LIFE,
+    Keys,
+    Verdict, //
+};
+pub use limit::Limit;
+pub use record::{
+    DISPATCH_LIFE, //
+    Record,
+    Records,
+    State,
+};
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,31 @@
+//! The typed messages between the system's own processes and their encoding.
+
+mod codec;
+mod message;
+
+pub use codec::{
+    Decoder,
+    Error,
+    MAX_FRAME,
+    VERSION,
+    encode, //
+};
+pub use message::{
+    Bid,
+    Dispatch,
+    End,
+    Exchange,
+    Head,
+    Hello,
+    Hint,
+    Message,
+    Part,
+    Peer,
+    Reason,
+    Report,
+    RequestId,
+    Standing,
+    Tally,
+    Totals,
+    Version, //
+};
