Serve HTTP requests end to end through separate routers and sidecars

Cause: nothing connected the decisions to sockets. Change: QUIC links with mutual TLS and heartbeats, HTTP front, calls to targets, platform watches, operators' pages, the command line, settings, and stand-ins with a demonstration of two routers and six sidecars.

--- /dev/null
+++ b/examples/standin/fleet.rs
@@ -0,0 +1,249 @@
+//! Routers and sidecars over loopback, each on a thread with a runtime of its own.
+
+use std::{
+    net::SocketAddr,
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration,
+};
+
+use compio::runtime::Runtime;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use redwingyard::{
+    settings::{
+        Keys,
+        Platform,
+        RouterSettings,
+        SidecarSettings, //
+    },
+    shell::{
+        RouterProcess,
+        SidecarProcess,
+        Vm, //
+    },
+};
+
+use super::platform::Values;
+
+/// What a process can be told.
+enum Order {
+    /// Break its links.
+    Cut,
+    /// Shut down gracefully.
+    Drain,
+    /// Stop at once, as if the VM had failed.
+    Kill,
+}
+
+/// A process on a thread.
+pub struct Handle {
+    orders: mpsc::UnboundedSender<Order>,
+    thread: Option<JoinHandle<bool>>,
+    pub addresses: Addresses,
+}
+
+/// The addresses of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    pub http: SocketAddr,
+    pub link: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+impl Handle {
+    fn order(&self, order: Order) {
+        let _ = self.orders.unbounded_send(order);
+    }
+
+    fn join(&mut self) -> bool {
+        let thread = self.thread.take();
+        thread.is_some_and(|thread| thread.join().unwrap_or(false))
+    }
+
+    /// Breaks the process's links.
+    pub fn cut(&self) {
+        self.order(Order::Cut);
+    }
+
+    /// Shuts the process down gracefully; returns whether it drained.
+    pub fn drain(&mut self) -> bool {
+        self.order(Order::Drain);
+        self.join()
+    }
+
+    /// Stops the process at once.
+    pub fn kill(&mut self) {
+        self.order(Order::Kill);
+        self.join();
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runs a future on a thread of its own and returns the first value that it sends.
+pub fn on_thread<T: Send + 'static, F: Future<Output = ()>>(
+    body: impl FnOnce(std::sync::mpsc::Sender<T>) -> F + Send + 'static,
+) -> T {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(body(sender));
+    });
+    receiver.recv().expect("the thread answers")
+}
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("a valid address")
+}
+
+/// The platform that a fleet reads.
+pub fn platform(address: SocketAddr) -> Platform {
+    Platform {
+        rules: format!("http://{address}/v1/kv/rules"),
+        vms: format!("http://{address}/v1/kv/vms"),
+    }
+}
+
+/// Returns a router's settings.
+pub fn router_settings(name: &str, keys: &Keys, platform: &Platform) -> RouterSettings {
+    RouterSettings {
+        name: name.to_owned(),
+        domain: "domain-a".to_owned(),
+        http: any(),
+        link: any(),
+        admin: any(),
+        keys: keys.clone(),
+        platform: platform.clone(),
+        account_header: "x-account".to_owned(),
+        tokens: Default::default(),
+        queues: Default::default(),
+        deadline_ms: 30_000,
+        body_bytes: 1 << 20,
+        drain_ms: 10_000,
+    }
+}
+
+/// Returns a sidecar's settings.
+pub fn sidecar_settings(
+    name: &str,
+    service: &str,
+    target: SocketAddr,
+    slots: u32,
+    keys: &Keys,
+    platform: &Platform,
+) -> SidecarSettings {
+    SidecarSettings {
+        name: name.to_owned(),
+        domain: "domain-a".to_owned(),
+        service: service.to_owned(),
+        target,
+        slots,
+        admin: any(),
+        keys: keys.clone(),
+        platform: platform.clone(),
+        drain_ms: 10_000,
+    }
+}
+
+/// Starts a router.
+pub fn router(settings: RouterSettings) -> Handle {
+    let (orders, mut receiver) = mpsc::unbounded();
+    let (sender, addresses) = std::sync::mpsc::channel();
+    let thread = thread::spawn(move || {
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let process = RouterProcess::start(settings).await.expect("a router");
+            let _ = sender.send(Addresses {
+                http: process.http,
+                link: process.link,
+                admin: process.admin,
+            });
+            while let Some(order) = receiver.next().await {
+                match order {
+                    Order::Cut => process.cut(),
+                    Order::Drain => return process.drain().await,
+                    Order::Kill => break,
+                }
+            }
+            false
+        })
+    });
+    let addresses = addresses.recv().expect("the router starts");
+    let thread = Some(thread);
+    Handle {
+        orders,
+        thread,
+        addresses,
+    }
+}
+
+/// Starts a sidecar.
+pub fn sidecar(settings: SidecarSettings) -> Handle {
+    let (orders, mut receiver) = mpsc::unbounded();
+    let (sender, addresses) = std::sync::mpsc::channel();
+    let thread = thread::spawn(move || {
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let process = SidecarProcess::start(settings).await.expect("a sidecar");
+            let _ = sender.send(process.admin);
+            while let Some(order) = receiver.next().await {
+                match order {
+                    Order::Cut => {}
+                    Order::Drain => return process.drain().await,
+                    Order::Kill => break,
+                }
+            }
+            false
+        })
+    });
+    let admin = addresses.recv().expect("the sidecar starts");
+    let addresses = Addresses {
+        http: admin,
+        link: admin,
+        admin,
+    };
+    let thread = Some(thread);
+    Handle {
+        orders,
+        thread,
+        addresses,
+    }
+}
+
+/// Publishes the VM list.
+pub fn publish_vms(values: &Values, routers: &[(&str, SocketAddr)]) {
+    let vms: Vec<_> = routers
+        .iter()
+        .map(|(name, link)| Vm {
+            name: (*name).to_owned(),
+            domain: "domain-a".to_owned(),
+            link: *link,
+            leaving: false,
+        })
+        .collect();
+    let text = serde_json::to_string(&vms).expect("a VM list serializes into memory");
+    values.set("vms", &text);
+}
+
+/// Waits until a process's readiness page says yes.
+pub fn await_ready(admin: SocketAddr) {
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        for _ in 0..1_000 {
+            let mut client = super::client::Client::new(admin);
+            let answer = client.send("GET", "/readyz", &[], "").await;
+            if answer.is_some_and(|answer| answer.status == 200) {
+                return;
+            }
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("{admin} does not become ready");
+    });
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,9 @@
+//! The command line.
+
+mod status;
+mod verbs;
+
+pub use verbs::{
+    Exit,
+    main, //
+};
--- /dev/null
+++ b/src/cli/verbs.rs
@@ -0,0 +1,293 @@
+//! The verbs of the command line.
+
+use std::{
+    fs,
+    process::ExitCode, //
+};
+
+use compio::runtime::Runtime;
+use derive_more::{
+    Display,
+    Error,
+    From, //
+};
+use getopts::{
+    Matches,
+    Options, //
+};
+
+use super::status;
+use crate::{
+    rules::{
+        self,
+        Rules, //
+    },
+    settings::{
+        self,
+        RouterSettings,
+        SidecarSettings, //
+    },
+    shell::{
+        self,
+        KeyError,
+        RouterProcess,
+        SidecarProcess, //
+    },
+};
+
+const USAGE: &str = "\
+usage: redwingyard VERB [ARGUMENT ...]
+
+  router --settings FILE [--check]   run a router
+  sidecar --settings FILE [--check]  run a sidecar
+  check RULES                        check a rules file
+  diff OLD NEW                       show what a rules file changes
+  explain RULES ACCOUNT              show which lines give an account its shares
+  explain RULES TARGET               show which lines list a target
+  explain RULES METHOD PATH          show which line makes a request a write
+  status ADDRESS                     show the state of a process
+  keys NAME ...                      make a development authority and keys
+  --help, --version
+";
+
+const SIGTERM: i32 = 15;
+
+/// How the command ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All went well.
+    Success,
+    /// The answer is no, or the command failed.
+    Failure,
+    /// The command line is wrong.
+    Usage,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        match exit {
+            Exit::Success => ExitCode::SUCCESS,
+            Exit::Failure => ExitCode::from(1),
+            Exit::Usage => ExitCode::from(2),
+        }
+    }
+}
+
+/// Why a verb failed.
+#[derive(Debug, Display, Error, From)]
+enum VerbError {
+    #[display("{_0}")]
+    #[from(skip)]
+    Usage(#[error(not(source))] String),
+    #[display("{_0}: {_1}")]
+    #[from(skip)]
+    File(String, std::io::Error),
+    #[display("{_0}: {_1}")]
+    #[from(skip)]
+    Rules(String, rules::Errors),
+    #[display("{_0}: {_1}")]
+    #[from(skip)]
+    Settings(String, settings::Error),
+    #[display("{_0}")]
+    Start(shell::StartError),
+    #[display("{_0}")]
+    Keys(KeyError),
+    #[display("{_0}")]
+    Status(status::StatusError),
+    #[display("{_0}")]
+    Io(std::io::Error),
+    #[display("{_0}")]
+    #[from(skip)]
+    No(#[error(not(source))] String),
+}
+
+/// Runs the command line `args`, without the program's name.
+///
+/// ```
+/// use redwingyard::cli::{Exit, main};
+/// assert_eq!(main(&["--version".to_owned()]), Exit::Success);
+/// assert_eq!(main(&["fly".to_owned()]), Exit::Usage);
+/// ```
+pub fn main(args: &[String]) -> Exit {
+    match run(args) {
+        Ok(()) => Exit::Success,
+        Err(VerbError::Usage(detail)) => {
+            eprintln!("redwingyard: {detail}; see redwingyard --help");
+            Exit::Usage
+        }
+        Err(err) => {
+            for line in err.to_string().lines() {
+                eprintln!("redwingyard: {line}");
+            }
+            Exit::Failure
+        }
+    }
+}
+
+fn run(args: &[String]) -> Result<(), VerbError> {
+    let Some((verb, rest)) = args.split_first() else {
+        return Err(VerbError::Usage("no verb".to_owned()));
+    };
+    match verb.as_str() {
+        "--help" | "-h" => print!("{USAGE}"),
+        "--version" => println!("redwingyard {}", env!("CARGO_PKG_VERSION")),
+        "router" => return run_router(rest),
+        "sidecar" => return run_sidecar(rest),
+        "check" => return check(rest),
+        "diff" => return diff(rest),
+        "explain" => return explain(rest),
+        "status" => print!("{}", status::read(one(rest, "status ADDRESS")?)?),
+        "keys" => return keys(rest),
+        other => return Err(VerbError::Usage(format!("unknown verb {other:?}"))),
+    }
+    Ok(())
+}
+
+fn one<'a>(args: &'a [String], form: &str) -> Result<&'a str, VerbError> {
+    match args {
+        [only] => Ok(only),
+        _ => Err(VerbError::Usage(format!("expected \"{form}\""))),
+    }
+}
+
+fn read(path: &str) -> Result<String, VerbError> {
+    fs::read_to_string(path).map_err(|err| VerbError::File(path.to_owned(), err))
+}
+
+fn read_rules(path: &str) -> Result<Rules, VerbError> {
+    rules::from_str(&read(path)?).map_err(|errs| VerbError::Rules(path.to_owned(), errs))
+}
+
+fn role_options(args: &[String]) -> Result<(Matches, String), VerbError> {
+    let mut options = Options::new();
+    options.reqopt("", "settings", "the settings file", "FILE");
+    options.optflag("", "check", "only check the settings");
+    let matches = options
+        .parse(args)
+        .map_err(|err| VerbError::Usage(err.to_string()))?;
+    if let Some(extra) = matches.free.first() {
+        return Err(VerbError::Usage(format!("unexpected argument {extra:?}")));
+    }
+    let path = matches.opt_str("settings").unwrap_or_default();
+    Ok((matches, path))
+}
+
+fn run_router(args: &[String]) -> Result<(), VerbError> {
+    let (matches, path) = role_options(args)?;
+    let settings: RouterSettings =
+        settings::from_str(&read(&path)?).map_err(|err| VerbError::Settings(path, err))?;
+    if matches.opt_present("check") {
+        return Ok(());
+    }
+    start_logs();
+    Runtime::new()?.block_on(async {
+        let process = RouterProcess::start(settings).await?;
+        stop_signal().await?;
+        ended(process.drain().await)
+    })
+}
+
+fn run_sidecar(args: &[String]) -> Result<(), VerbError> {
+    let (matches, path) = role_options(args)?;
+    let settings: SidecarSettings =
+        settings::from_str(&read(&path)?).map_err(|err| VerbError::Settings(path, err))?;
+    if matches.opt_present("check") {
+        return Ok(());
+    }
+    start_logs();
+    Runtime::new()?.block_on(async {
+        let process = SidecarProcess::start(settings).await?;
+        stop_signal().await?;
+        ended(process.drain().await)
+    })
+}
+
+fn start_logs() {
+    let filter = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(filter).init();
+}
+
+async fn stop_signal() -> Result<(), VerbError> {
+    let term = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+    let int = std::pin::pin!(compio::signal::ctrl_c());
+    let first = futures_util::future::select(term, int).await;
+    Ok(first.factor_first().0?)
+}
+
+fn ended(drained: bool) -> Result<(), VerbError> {
+    match drained {
+        true => Ok(()),
+        false => Err(VerbError::No(
+            "stopped before every request ended".to_owned(),
+        )),
+    }
+}
+
+fn check(args: &[String]) -> Result<(), VerbError> {
+    let rules = read_rules(one(args, "check RULES")?)?;
+    let count = rules.entries().len();
+    println!("generation {}: {count} rules are valid", rules.generation());
+    Ok(())
+}
+
+fn diff(args: &[String]) -> Result<(), VerbError> {
+    let [old, new] = args else {
+        return Err(VerbError::Usage("expected \"diff OLD NEW\"".to_owned()));
+    };
+    let (old, new) = (read_rules(old)?, read_rules(new)?);
+    for change in rules::diff(&old, &new) {
+        println!("{change}");
+    }
+    if new.generation() > old.generation() {
+        println!(
+            "generation {} would be accepted after {}",
+            new.generation(),
+            old.generation()
+        );
+        return Ok(());
+    }
+    Err(VerbError::No(format!(
+        "generation {} would be refused: it must be greater than {}",
+        new.generation(),
+        old.generation()
+    )))
+}
+
+fn explain(args: &[String]) -> Result<(), VerbError> {
+    let lines = match args {
+        [path, name] => {
+            let rules = read_rules(path)?;
+            let mut lines = rules::explain_account(&rules, name);
+            lines.extend(rules::explain_target(&rules, name));
+            if lines.is_empty() {
+                let detail = format!("no line names an account or target {name:?}");
+                return Err(VerbError::No(detail));
+            }
+            lines
+        }
+        [path, method, target] => {
+            let rules = read_rules(path)?;
+            vec![rules::explain_request(&rules, method, target)]
+        }
+        _ => {
+            let form = "expected \"explain RULES ACCOUNT|TARGET|METHOD PATH\"";
+            return Err(VerbError::Usage(form.to_owned()));
+        }
+    };
+    for line in lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+fn keys(args: &[String]) -> Result<(), VerbError> {
+    if args.is_empty() {
+        return Err(VerbError::Usage("expected \"keys NAME ...\"".to_owned()));
+    }
+    let names: Vec<_> = args.iter().map(String::as_str).collect();
+    let keys = shell::generate(&names)?;
+    let by_name: std::collections::BTreeMap<_, _> = names.into_iter().zip(keys).collect();
+    let text = serde_json::to_string_pretty(&by_name).expect("keys serialize into memory");
+    println!("{text}");
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,11 +24,14 @@
 #[macro_use]
 mod macros;
 
+pub mod cli;
 pub mod config;
 pub mod fair;
 pub mod ids;
 pub mod member;
 pub mod router;
 pub mod rules;
+pub mod settings;
+pub mod shell;
 pub mod sidecar;
 pub mod wire;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -80,6 +80,8 @@
 pub enum Input {
     /// The caller of a request has gone.
     Gone(Sequence),
+    /// A caller has taken bytes of its answer.
+    Taken(Sequence, u64),
     /// A link to a sidecar is up.
     Up {
         /// The target beside it.
@@ -243,6 +245,7 @@
             doubtful: false,
             started: false,
             received: 0,
+            taken: 0,
             wake: now + limit,
         };
         self.timers.insert((request.wake, sequence));
@@ -261,6 +264,7 @@
     pub fn step(&mut self, now: Time, input: Input) -> Vec<Output> {
         match input {
             Input::Gone(sequence) => self.gone(now, sequence),
+            Input::Taken(sequence, bytes) => self.taken(sequence, bytes),
             Input::Up {
                 target,
                 service,
@@ -816,22 +820,27 @@
                 ended: true,
             };
             self.acks.push((target, message));
-            return;
         }
-        self.ack(sequence, part.id);
     }
 
-    /// Tells a sidecar what has arrived once it is much.
-    fn ack(&mut self, sequence: Sequence, id: RequestId) {
+    /// Tells a sidecar what the caller has taken once it is much, so that a slow caller
+    /// holds back its target and not this router's memory.
+    fn taken(&mut self, sequence: Sequence, bytes: u64) {
         let Some(request) = self.requests.get_mut(&sequence) else {
             return;
         };
+        request.taken += bytes;
+        let (attempt, offset) = (request.attempt, request.taken);
         let Stage::Flying(flight) = &mut request.stage else {
             return;
         };
-        let offset = request.received;
         if offset - flight.acked >= ACK_BYTES {
             flight.acked = offset;
+            let id = RequestId {
+                router: self.settings.incarnation,
+                sequence,
+                attempt,
+            };
             let ended = false;
             let message = Message::Ack { id, offset, ended };
             self.outs.push(Output::Send(flight.target, message));
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -51,7 +51,7 @@
 }
 
 /// A request as its queue sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Waiter {
     /// The request.
     pub sequence: Sequence,
@@ -227,17 +227,6 @@
     }
 }
 
-impl Default for Waiter {
-    fn default() -> Self {
-        Self {
-            sequence: 0,
-            bound: None,
-            favourite: None,
-            bytes: 0,
-        }
-    }
-}
-
 impl Queue {
     fn push(&mut self, waiter: Waiter, front: bool) {
         self.bound += usize::from(waiter.bound.is_some());
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -74,6 +74,7 @@
     pub(super) doubtful: bool,
     pub(super) started: bool,
     pub(super) received: u64,
+    pub(super) taken: u64,
     pub(super) wake: Time,
 }
 
--- /dev/null
+++ b/src/shell/admin.rs
@@ -0,0 +1,372 @@
+//! The operators' interface of a process: metrics, health and status.
+
+use std::{
+    convert::Infallible,
+    rc::Rc, //
+};
+
+use bytes::Bytes;
+use compio::{
+    net::TcpListener,
+    runtime::spawn,
+    time::sleep, //
+};
+use cyper_core::HyperStream;
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use prometheus::{
+    Encoder,
+    IntGaugeVec,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+use serde::Serialize;
+
+use super::{
+    body::Body,
+    router::{
+        self,
+        TICK_INTERVAL, //
+    },
+    sidecar,
+};
+use crate::wire::Version;
+
+/// What `redwingyard status` prints of a router.
+#[derive(Debug, Serialize)]
+struct RouterStatus {
+    name: String,
+    generation: u64,
+    digest: String,
+    since_seconds: u64,
+    behind: Vec<String>,
+    backlog: Vec<Backlog>,
+    targets: Vec<TargetStatus>,
+}
+
+#[derive(Debug, Serialize)]
+struct Backlog {
+    service: String,
+    account: String,
+    waiting: usize,
+    usage_us: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct TargetStatus {
+    target: String,
+    service: String,
+    offered: u32,
+    leaving: bool,
+}
+
+/// What `redwingyard status` prints of a sidecar.
+#[derive(Debug, Serialize)]
+struct SidecarStatus {
+    name: String,
+    service: String,
+    generation: u64,
+    digest: String,
+    running: usize,
+    taken: usize,
+    records: usize,
+    leaving: bool,
+}
+
+/// Answers operators of a router.
+pub(super) async fn serve_router(process: Rc<router::Process>, listener: TcpListener) {
+    serve(listener, move |path| router_page(&process, path)).await;
+}
+
+/// Answers operators of a sidecar.
+pub(super) async fn serve_sidecar(process: Rc<sidecar::Process>, listener: TcpListener) {
+    serve(listener, move |path| sidecar_page(&process, path)).await;
+}
+
+async fn serve(listener: TcpListener, page: impl Fn(&str) -> Option<Page> + 'static) {
+    let page = Rc::new(page);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(TICK_INTERVAL).await;
+            continue;
+        };
+        let page = page.clone();
+        spawn(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let page = page(request.uri().path());
+                async move { Ok::<_, Infallible>(respond(page)) }
+            });
+            let _ = http1::Builder::new()
+                .serve_connection(HyperStream::new_plain(stream), service)
+                .await;
+        })
+        .detach();
+    }
+}
+
+/// A status and a text.
+type Page = (StatusCode, Vec<u8>);
+
+fn respond(page: Option<Page>) -> Response<Body> {
+    let (status, text) = page.unwrap_or((StatusCode::NOT_FOUND, b"not found\n".to_vec()));
+    let mut response = Response::new(Body::full(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+fn ready(yes: bool) -> Page {
+    match yes {
+        true => (StatusCode::OK, b"ready\n".to_vec()),
+        false => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
+    }
+}
+
+fn json(value: &impl Serialize) -> Page {
+    let mut text = serde_json::to_vec_pretty(value).expect("a status serializes into memory");
+    text.push(b'\n');
+    (StatusCode::OK, text)
+}
+
+fn router_page(process: &router::Process, path: &str) -> Option<Page> {
+    Some(match path {
+        "/healthz" => (StatusCode::OK, b"ok\n".to_vec()),
+        "/readyz" => {
+            let targets = process.core.borrow().targets().count();
+            let rules = process.store.borrow().version().generation > 0;
+            ready(rules && targets > 0 && !process.is_stopping())
+        }
+        "/status" => json(&router_status(process)),
+        "/metrics" => metrics(&router_gauges(process)),
+        _ => return None,
+    })
+}
+
+fn router_status(process: &router::Process) -> RouterStatus {
+    let core = process.core.borrow();
+    let rules = process.rules();
+    let version = process.store.borrow().version();
+    let names = Names::new(&rules);
+    let since = process.clock.now().saturating_sub(process.since.borrow().0);
+    let behind = process
+        .versions
+        .borrow()
+        .iter()
+        .filter(|(_, other)| **other != version)
+        .map(|(peer, _)| format!("{peer:?}"))
+        .collect();
+    let backlog = core.backlog().map(|((service, account), waiting)| Backlog {
+        service: names.get(service),
+        account: names.get(account),
+        waiting,
+        usage_us: core.table(service).map_or(0, |table| table.usage(account)),
+    });
+    let targets = core
+        .targets()
+        .map(|(target, service, offered)| TargetStatus {
+            target: names.get(target),
+            service: names.get(service),
+            offered,
+            leaving: rules.leaving_entry(target).is_some(),
+        });
+    RouterStatus {
+        name: process.settings.name.clone(),
+        generation: version.generation,
+        digest: digest(version),
+        since_seconds: since.as_secs(),
+        behind,
+        backlog: backlog.collect(),
+        targets: targets.collect(),
+    }
+}
+
+fn sidecar_page(process: &sidecar::Process, path: &str) -> Option<Page> {
+    Some(match path {
+        "/healthz" => (StatusCode::OK, b"ok\n".to_vec()),
+        "/readyz" => ready(!process.core.borrow().is_leaving()),
+        "/status" => json(&sidecar_status(process)),
+        "/metrics" => metrics(&sidecar_gauges(process)),
+        _ => return None,
+    })
+}
+
+fn sidecar_status(process: &sidecar::Process) -> SidecarStatus {
+    let core = process.core.borrow();
+    let version = process.store.borrow().version();
+    SidecarStatus {
+        name: process.settings.name.clone(),
+        service: process.settings.service.clone(),
+        generation: version.generation,
+        digest: digest(version),
+        running: core.running(),
+        taken: core.taken(),
+        records: core.records().len(),
+        leaving: core.is_leaving(),
+    }
+}
+
+fn digest(version: Version) -> String {
+    format!("{:016x}", version.digest)
+}
+
+/// One gauge: its name, its help, its labels with values, and its value.
+type Gauge = (&'static str, &'static str, Vec<(&'static str, String)>, i64);
+
+fn router_gauges(process: &router::Process) -> Vec<Gauge> {
+    let core = process.core.borrow();
+    let names = Names::new(&process.rules());
+    let generation = process.store.borrow().version().generation as i64;
+    let counters = &process.counters;
+    let mut gauges = vec![
+        (
+            "redwingyard_generation",
+            "Generation in force.",
+            vec![],
+            generation,
+        ),
+        (
+            "redwingyard_requests",
+            "Requests that have not ended.",
+            vec![],
+            core.active() as i64,
+        ),
+        (
+            "redwingyard_link_sent_bytes",
+            "Bytes sent on links.",
+            vec![],
+            counters.sent.get() as i64,
+        ),
+        (
+            "redwingyard_link_received_bytes",
+            "Bytes received on links.",
+            vec![],
+            counters.received.get() as i64,
+        ),
+    ];
+    for ((service, account), waiting) in core.backlog() {
+        let labels = vec![
+            ("service", names.get(service)),
+            ("account", names.get(account)),
+        ];
+        gauges.push((
+            "redwingyard_backlog",
+            "Requests that wait.",
+            labels,
+            waiting as i64,
+        ));
+    }
+    for (service, table) in core.tables() {
+        for (account, usage) in table.usages() {
+            let labels = vec![
+                ("service", names.get(service)),
+                ("account", names.get(account)),
+            ];
+            let help = "Service received over share, in microseconds of a slot.";
+            gauges.push(("redwingyard_usage_us", help, labels, usage as i64));
+        }
+    }
+    gauges
+}
+
+fn sidecar_gauges(process: &sidecar::Process) -> Vec<Gauge> {
+    let core = process.core.borrow();
+    let generation = process.store.borrow().version().generation as i64;
+    let counters = &process.counters;
+    vec![
+        (
+            "redwingyard_generation",
+            "Generation in force.",
+            vec![],
+            generation,
+        ),
+        (
+            "redwingyard_running",
+            "Attempts at the target.",
+            vec![],
+            core.running() as i64,
+        ),
+        (
+            "redwingyard_slots_taken",
+            "Slots taken.",
+            vec![],
+            core.taken() as i64,
+        ),
+        (
+            "redwingyard_records",
+            "Outcomes kept.",
+            vec![],
+            core.records().len() as i64,
+        ),
+        (
+            "redwingyard_link_sent_bytes",
+            "Bytes sent on links.",
+            vec![],
+            counters.sent.get() as i64,
+        ),
+        (
+            "redwingyard_link_received_bytes",
+            "Bytes received on links.",
+            vec![],
+            counters.received.get() as i64,
+        ),
+    ]
+}
+
+fn metrics(gauges: &[Gauge]) -> Page {
+    let registry = Registry::new();
+    let mut families = std::collections::BTreeMap::new();
+    for (name, help, labels, value) in gauges {
+        let keys: Vec<_> = labels.iter().map(|(key, _)| *key).collect();
+        let values: Vec<_> = labels.iter().map(|(_, value)| value.as_str()).collect();
+        let family = families.entry(*name).or_insert_with(|| {
+            let family = IntGaugeVec::new(Opts::new(*name, *help), &keys);
+            let family = family.expect("the gauge's name and labels are valid");
+            let _ = registry.register(Box::new(family.clone()));
+            family
+        });
+        family.with_label_values(&values).set(*value);
+    }
+    let mut text = Vec::new();
+    let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
+    (StatusCode::OK, text)
+}
+
+/// The names behind identifiers, from the rules in force.
+struct Names(std::collections::HashMap<u32, String>);
+
+impl Names {
+    fn new(rules: &crate::rules::Rules) -> Self {
+        use crate::rules::Rule;
+        let mut names = std::collections::HashMap::new();
+        let mut add = |name: &String| names.insert(crate::ids::id(name), name.clone());
+        for entry in rules.entries() {
+            match &entry.rule {
+                Rule::Share {
+                    service, account, ..
+                } => {
+                    add(service);
+                    add(account);
+                }
+                Rule::Target { service, target } => {
+                    add(service);
+                    add(target);
+                }
+                _ => {}
+            }
+        }
+        Self(names)
+    }
+
+    fn get(&self, id: u32) -> String {
+        self.0
+            .get(&id)
+            .cloned()
+            .unwrap_or_else(|| format!("{id:08x}"))
+    }
+}
--- /dev/null
+++ b/src/shell/fields.rs
@@ -0,0 +1,53 @@
+//! Header fields that pass between callers and targets.
+
+use bytes::Bytes;
+use hyper::header::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue, //
+};
+
+/// Header fields that belong to one connection (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns the end-to-end fields of a message.
+pub(super) fn forward(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let listed: Vec<_> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()))
+        .filter(|(name, _)| !listed.iter().any(|other| other == name.as_str()))
+        .map(|(name, value)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (name.as_str().to_owned(), value)
+        })
+        .collect()
+}
+
+/// Returns fields as a header map; malformed ones are left out.
+pub(super) fn restore(fields: &[(String, Bytes)]) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for (name, value) in fields {
+        let name = HeaderName::try_from(name.as_str());
+        let value = HeaderValue::from_maybe_shared(value.clone());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
--- /dev/null
+++ b/src/shell/mod.rs
@@ -0,0 +1,27 @@
+//! The sockets, timers and logs around the decisions.
+
+mod admin;
+mod body;
+mod clock;
+mod fields;
+mod front;
+mod link;
+mod platform;
+mod problem;
+mod router;
+mod sidecar;
+mod target;
+mod tls;
+
+pub use clock::Clock;
+pub use link::LinkError;
+pub use platform::Vm;
+pub use router::{
+    RouterProcess,
+    StartError, //
+};
+pub use sidecar::SidecarProcess;
+pub use tls::{
+    KeyError,
+    generate, //
+};
--- /dev/null
+++ b/src/shell/problem.rs
@@ -0,0 +1,85 @@
+//! Refusals as problem documents (RFC 9457).
+
+use bytes::Bytes;
+use hyper::{
+    Response, StatusCode,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue,
+        RETRY_AFTER, //
+    },
+};
+use serde::Serialize;
+
+use super::body::Body;
+use crate::router::{
+    Cause,
+    Ran,
+    Refusal, //
+};
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    r#type: &'a str,
+    title: &'a str,
+    status: u16,
+    ran: &'a str,
+    detail: &'a str,
+}
+
+/// Returns the answer to a request that is refused before it is queued.
+pub(super) fn reject(status: StatusCode, title: &str, detail: &str) -> Response<Body> {
+    document(status, title, Ran::No, detail)
+}
+
+/// Returns the answer to a request that may have run and has no answer.
+#[cold]
+pub(super) fn unknown(status: StatusCode, title: &str, detail: &str) -> Response<Body> {
+    document(status, title, Ran::Unknown, detail)
+}
+
+/// Returns the answer to a refused request.
+pub(super) fn refuse(refusal: &Refusal) -> Response<Body> {
+    let status = StatusCode::from_u16(refusal.status()).expect("a cause has a valid status");
+    let title = refusal.cause.to_string();
+    let mut response = document(status, &title, refusal.ran, detail(refusal.cause));
+    if let Some(retry) = refusal.retry {
+        let seconds = retry.as_secs().max(1);
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+fn document(status: StatusCode, title: &str, ran: Ran, detail: &str) -> Response<Body> {
+    let ran = ran.to_string();
+    let problem = Problem {
+        r#type: "about:blank",
+        title,
+        status: status.as_u16(),
+        ran: &ran,
+        detail,
+    };
+    let text = serde_json::to_vec(&problem).expect("a problem serializes into memory");
+    let mut response = Response::new(Body::full(Bytes::from(text)));
+    *response.status_mut() = status;
+    let media = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(CONTENT_TYPE, media);
+    response
+}
+
+fn detail(cause: Cause) -> &'static str {
+    match cause {
+        Cause::QueueFull => "too many requests of this account wait",
+        Cause::Deadline => "no target was free before the deadline",
+        Cause::Overload => "the wait would exceed the deadline",
+        Cause::Draining => "this router is shutting down",
+        Cause::TargetLost => "the target was lost while the request may have run",
+        Cause::Timeout => "the target did not answer before the deadline",
+        Cause::KeyReused => "this idempotency key belongs to another request",
+        Cause::KeyDone => "this idempotency key has run and its answer is no longer held",
+        Cause::KeyUnknown => "this idempotency key may have run before",
+        Cause::KeyRunning => "a request with this idempotency key is running",
+    }
+}
--- /dev/null
+++ b/src/shell/router.rs
@@ -0,0 +1,563 @@
+//! A router as a process.
+
+use std::{
+    cell::RefCell,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::{
+    net::TcpListener,
+    quic::Endpoint,
+    runtime::spawn,
+    time::sleep, //
+};
+use cyper_core::HyperStream;
+use derive_more::{
+    Display,
+    Error,
+    From, //
+};
+use futures_channel::mpsc::{
+    UnboundedReceiver,
+    UnboundedSender,
+    unbounded, //
+};
+use hyper::{
+    server::conn::http1,
+    service::service_fn, //
+};
+
+use super::{
+    Clock, KeyError, Vm, admin, front,
+    link::{
+        self,
+        Context,
+        Counters,
+        Link,
+        Links, //
+    },
+    platform::Watch,
+    tls,
+};
+use crate::{
+    config::{
+        self,
+        Step,
+        Store, //
+    },
+    ids::{
+        self,
+        Incarnation,
+        Sequence,
+        Target,
+        id, //
+    },
+    member,
+    router::{
+        Ask,
+        Input,
+        Output,
+        Reply,
+        Router,
+        Settings, //
+    },
+    rules::Rules,
+    settings::RouterSettings,
+    wire::{
+        Hello,
+        Message,
+        Peer,
+        Version, //
+    },
+};
+
+/// The interval of a process's timers.
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The time that a peer must have been silent for its place as a reader to pass on.
+const DIAL_PAUSE: Duration = Duration::from_millis(200);
+
+/// The largest head of a request, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+
+/// Why a process could not start.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[display("cannot listen: {_0}")]
+    Io(io::Error),
+    /// The keys are not accepted.
+    #[display("{_0}")]
+    Keys(KeyError),
+    /// The platform's client could not be made.
+    #[display("cannot watch the platform: {_0}")]
+    #[from(skip)]
+    Platform(#[error(not(source))] String),
+}
+
+/// The state that a router's tasks share.
+pub(super) struct Process {
+    pub(super) settings: RouterSettings,
+    pub(super) clock: Rc<Clock>,
+    pub(super) core: RefCell<Router>,
+    pub(super) store: RefCell<Store>,
+    pub(super) since: RefCell<(Duration, Version)>,
+    pub(super) versions: RefCell<BTreeMap<PeerId, Version>>,
+    pub(super) counters: Rc<Counters>,
+    pub(super) vms: RefCell<Vec<Vm>>,
+    me: ids::Router,
+    incarnation: Incarnation,
+    callers: RefCell<HashMap<Sequence, UnboundedSender<Reply>>>,
+    sidecars: Links<Target>,
+    peers: Links<ids::Router>,
+    drained: RefCell<Vec<futures_channel::oneshot::Sender<()>>>,
+    stopping: std::cell::Cell<bool>,
+}
+
+/// A peer as the status page knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum PeerId {
+    /// A router.
+    Router(ids::Router),
+    /// A sidecar.
+    Sidecar(Target),
+}
+
+/// A running router.
+pub struct RouterProcess {
+    process: Rc<Process>,
+    /// The address for callers.
+    pub http: SocketAddr,
+    /// The address for other processes of the system.
+    pub link: SocketAddr,
+    /// The address for operators.
+    pub admin: SocketAddr,
+}
+
+impl Process {
+    pub(super) fn rules(&self) -> Rc<Rules> {
+        self.store.borrow().rules().clone()
+    }
+
+    /// Takes a request in and returns where its answer arrives.
+    pub(super) fn arrive(&self, ask: Ask) -> (Sequence, UnboundedReceiver<Reply>) {
+        let (sender, receiver) = unbounded();
+        let now = self.clock.now();
+        let (sequence, outs) = self.core.borrow_mut().arrive(now, ask);
+        self.callers.borrow_mut().insert(sequence, sender);
+        self.perform(outs);
+        (sequence, receiver)
+    }
+
+    pub(super) fn caller_gone(&self, sequence: Sequence) {
+        self.callers.borrow_mut().remove(&sequence);
+        self.step(Input::Gone(sequence));
+    }
+
+    pub(super) fn caller_took(&self, sequence: Sequence, bytes: u64) {
+        self.step(Input::Taken(sequence, bytes));
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    fn step(&self, input: Input) {
+        let now = self.clock.now();
+        let outs = self.core.borrow_mut().step(now, input);
+        self.perform(outs);
+    }
+
+    fn perform(&self, outs: Vec<Output>) {
+        for out in outs {
+            match out {
+                Output::Send(target, message) => self.sidecars.send(target, message),
+                Output::SendPeer(router, message) => self.peers.send(router, message),
+                Output::Reply(sequence, reply) => self.reply(sequence, reply),
+                Output::Drained => {
+                    for sender in self.drained.borrow_mut().drain(..) {
+                        let _ = sender.send(());
+                    }
+                }
+                Output::Log(event) => log::info!("{event}"),
+            }
+        }
+    }
+
+    fn reply(&self, sequence: Sequence, reply: Reply) {
+        let last = matches!(reply, Reply::End(_) | Reply::Refuse(_) | Reply::Break);
+        let mut callers = self.callers.borrow_mut();
+        if let Some(sender) = callers.get(&sequence) {
+            let _ = sender.unbounded_send(reply);
+        }
+        if last {
+            callers.remove(&sequence);
+        }
+    }
+
+    /// Brings a rules text into force if it is newer.
+    fn offer(&self, text: &str, source: &str) {
+        let result = self.store.borrow_mut().offer(text);
+        match result {
+            Ok(false) => {}
+            Ok(true) => {
+                let version = self.store.borrow().version();
+                self.since.replace((self.clock.now(), version));
+                log::info!(
+                    "event=rules generation={} digest={:016x} source={source}",
+                    version.generation,
+                    version.digest
+                );
+                self.step(Input::Rules(self.rules()));
+                self.announce(version);
+            }
+            Err(err) => log_refusal(&err, source),
+        }
+    }
+
+    fn announce(&self, version: Version) {
+        for target in self.sidecars.peers() {
+            self.sidecars.send(target, Message::Heartbeat(version));
+        }
+        for router in self.peers.peers() {
+            self.peers.send(router, Message::Heartbeat(version));
+        }
+    }
+
+    /// Handles messages about rules; returns any other message.
+    fn govern(&self, peer: PeerId, message: Message) -> Option<Message> {
+        match message {
+            Message::Heartbeat(version) => {
+                self.versions.borrow_mut().insert(peer, version);
+                let step = self.store.borrow().compare(version);
+                self.follow(peer, step, version);
+            }
+            Message::Fetch => {
+                let text = self.store.borrow().text().to_owned();
+                self.send(peer, Message::Rules(text));
+            }
+            Message::Rules(text) => self.offer(&text, "peer"),
+            other => return Some(other),
+        }
+        None
+    }
+
+    fn follow(&self, peer: PeerId, step: Step, version: Version) {
+        match step {
+            Step::Fetch => self.send(peer, Message::Fetch),
+            Step::Conflict => log::error!(
+                "event=rules-conflict generation={} digest={:016x}",
+                version.generation,
+                version.digest
+            ),
+            Step::Same | Step::Wait => {}
+        }
+    }
+
+    fn send(&self, peer: PeerId, message: Message) {
+        match peer {
+            PeerId::Router(router) => self.peers.send(router, message),
+            PeerId::Sidecar(target) => self.sidecars.send(target, message),
+        }
+    }
+
+    /// Returns the routers of the VM list that are not leaving.
+    fn routers(&self) -> Vec<ids::Router> {
+        let vms = self.vms.borrow();
+        let live = vms.iter().filter(|vm| !vm.leaving);
+        live.map(|vm| id(&vm.name)).collect()
+    }
+}
+
+/// Logs a rules text that does not come into force.
+pub(super) fn log_refusal(err: &config::Error, source: &str) {
+    match err {
+        config::Error::Older { .. } => log::info!("event=rules-older source={source} {err}"),
+        err => {
+            for line in err.to_string().lines() {
+                log::error!("event=rules-refused source={source} error=\"{line}\"");
+            }
+        }
+    }
+}
+
+impl RouterProcess {
+    /// Starts a router on the current thread's runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound or the keys are not accepted.
+    pub async fn start(settings: RouterSettings) -> Result<Self, StartError> {
+        let clock = Rc::new(Clock::default());
+        let incarnation = fastrand::u64(1..);
+        let core = Router::new(Settings {
+            router: id(&settings.name),
+            incarnation,
+            bounds: settings.queues,
+            seed: incarnation,
+        });
+        let (server, client) = tls::configs(&settings.keys)?;
+        let endpoint = Endpoint::server(settings.link, server).await?;
+        let link = endpoint.local_addr()?;
+        let http = TcpListener::bind(settings.http).await?;
+        let admin = TcpListener::bind(settings.admin).await?;
+        let (http_address, admin_address) = (http.local_addr()?, admin.local_addr()?);
+        let rules = watch(&settings.platform.rules)?;
+        let vms = watch(&settings.platform.vms)?;
+        let process = Rc::new(Process {
+            me: id(&settings.name),
+            settings,
+            clock,
+            core: RefCell::new(core),
+            store: RefCell::default(),
+            since: RefCell::default(),
+            versions: RefCell::default(),
+            counters: Rc::default(),
+            vms: RefCell::default(),
+            incarnation,
+            callers: RefCell::default(),
+            sidecars: Links::new(),
+            peers: Links::new(),
+            drained: RefCell::default(),
+            stopping: std::cell::Cell::new(false),
+        });
+        log::info!(
+            "event=start role=router name={} domain={} incarnation={incarnation:x} http={http_address} \
+             link={link} admin={admin_address}",
+            process.settings.name,
+            process.settings.domain
+        );
+        let dialer = Endpoint::client(SocketAddr::new(link.ip(), 0)).await?;
+        spawn(serve_links(process.clone(), endpoint)).detach();
+        spawn(serve_http(process.clone(), http)).detach();
+        spawn(admin::serve_router(process.clone(), admin)).detach();
+        spawn(tick(process.clone())).detach();
+        spawn(keep_parent(process.clone(), dialer, client)).detach();
+        spawn(read_rules(process.clone(), rules)).detach();
+        spawn(read_vms(process.clone(), vms)).detach();
+        Ok(Self {
+            process,
+            http: http_address,
+            link,
+            admin: admin_address,
+        })
+    }
+
+    /// Stops taking requests and waits until every one has ended or the drain limit of
+    /// the settings is reached; returns whether all have ended.
+    pub async fn drain(&self) -> bool {
+        self.process.stopping.set(true);
+        log::info!("event=drain role=router");
+        let (sender, receiver) = futures_channel::oneshot::channel();
+        self.process.drained.borrow_mut().push(sender);
+        self.process.step(Input::Drain);
+        let limit = Duration::from_millis(self.process.settings.drain_ms);
+        let drained = compio::time::timeout(limit, receiver).await.is_ok();
+        // Lets the last answers and acknowledgements leave.
+        sleep(DIAL_PAUSE).await;
+        log::info!("event=stop role=router drained={drained}");
+        drained
+    }
+
+    /// Returns the generation in force, or zero.
+    pub fn generation(&self) -> ids::Generation {
+        self.process.store.borrow().version().generation
+    }
+
+    /// Returns the number of linked sidecars.
+    pub fn sidecars(&self) -> usize {
+        self.process.sidecars.peers().len()
+    }
+
+    /// Breaks the links to sidecars without telling them, as a failing network would.
+    pub fn cut(&self) {
+        for target in self.process.sidecars.peers() {
+            self.process.sidecars.close(target);
+        }
+    }
+}
+
+pub(super) fn watch(url: &str) -> Result<Watch, StartError> {
+    Watch::new(url).map_err(|err| StartError::Platform(err.to_string()))
+}
+
+async fn tick(process: Rc<Process>) {
+    loop {
+        sleep(TICK_INTERVAL).await;
+        process.step(Input::Tick);
+    }
+}
+
+fn context(process: &Rc<Process>) -> Context {
+    let hello = process.clone();
+    Context {
+        clock: process.clock.clone(),
+        counters: process.counters.clone(),
+        hello: Rc::new(move || Hello {
+            peer: Peer::Router { router: hello.me },
+            incarnation: hello.incarnation,
+            version: hello.store.borrow().version(),
+        }),
+    }
+}
+
+async fn serve_links(process: Rc<Process>, endpoint: Endpoint) {
+    while let Some(incoming) = endpoint.wait_incoming().await {
+        let process = process.clone();
+        spawn(async move {
+            let context = context(&process);
+            let link = match incoming.await {
+                Ok(connection) => link::accept(connection, &context).await,
+                Err(err) => Err(err.into()),
+            };
+            match link {
+                Ok(link) => run_link(process, link, context).await,
+                Err(err) => log::warn!("event=link-refused error=\"{err}\""),
+            }
+        })
+        .detach();
+    }
+}
+
+async fn run_link(process: Rc<Process>, link: Link, context: Context) {
+    match link.hello.peer {
+        Peer::Sidecar { target, service } => {
+            let serial = process.sidecars.insert(target, link.sender.clone());
+            let incarnation = link.hello.incarnation;
+            log::info!("event=link-up target={target:08x} incarnation={incarnation:x}");
+            process.step(Input::Up {
+                target,
+                service,
+                incarnation,
+            });
+            let peer = PeerId::Sidecar(target);
+            process.govern(peer, Message::Heartbeat(link.hello.version));
+            let ours = process.clone();
+            let take = |message| {
+                if ours.sidecars.is_current(target, serial)
+                    && let Some(message) = ours.govern(peer, message)
+                {
+                    ours.step(Input::Message { target, message });
+                }
+            };
+            let result = link.run(&context, take).await;
+            if process.sidecars.remove(target, serial) {
+                log_down("target", target, result.err());
+                process.versions.borrow_mut().remove(&peer);
+                process.step(Input::Down { target });
+            }
+        }
+        Peer::Router { router } => run_peer(process, link, context, router).await,
+    }
+}
+
+async fn run_peer(process: Rc<Process>, link: Link, context: Context, router: ids::Router) {
+    let serial = process.peers.insert(router, link.sender.clone());
+    log::info!("event=link-up router={router:08x}");
+    process.step(Input::PeerUp { router });
+    let peer = PeerId::Router(router);
+    process.govern(peer, Message::Heartbeat(link.hello.version));
+    let ours = process.clone();
+    let take = |message| {
+        if ours.peers.is_current(router, serial)
+            && let Some(message) = ours.govern(peer, message)
+        {
+            ours.step(Input::PeerMessage { router, message });
+        }
+    };
+    let result = link.run(&context, take).await;
+    if process.peers.remove(router, serial) {
+        log_down("router", router, result.err());
+        process.versions.borrow_mut().remove(&peer);
+        process.step(Input::PeerDown { router });
+    }
+}
+
+/// Logs that a link has gone.
+pub(super) fn log_down(kind: &str, peer: u32, err: Option<super::LinkError>) {
+    let reason = err.map_or("closed".to_owned(), |err| err.to_string());
+    log::info!("event=link-down {kind}={peer:08x} reason=\"{reason}\"");
+}
+
+/// Keeps a link to this router's parent in the exchange tree.
+async fn keep_parent(
+    process: Rc<Process>,
+    mut endpoint: Endpoint,
+    client: compio::quic::ClientConfig,
+) {
+    endpoint.default_client_config = Some(client);
+    loop {
+        let parents = member::parents(process.me, &process.routers());
+        for parent in parents {
+            let found = process
+                .vms
+                .borrow()
+                .iter()
+                .find(|vm| id(&vm.name) == parent)
+                .map(|vm| vm.link);
+            let Some(address) = found else {
+                continue;
+            };
+            let context = context(&process);
+            if let Ok(link) = link::dial(&endpoint, address, &context).await {
+                run_peer(process.clone(), link, context, parent).await;
+                break;
+            }
+        }
+        sleep(DIAL_PAUSE).await;
+    }
+}
+
+async fn read_rules(process: Rc<Process>, watch: Watch) {
+    let reader = process.clone();
+    let wanted = move || {
+        let routers = reader.routers();
+        let first = reader.store.borrow().version().generation == 0;
+        first || member::is_reader(reader.me, &routers, member::READERS)
+    };
+    watch
+        .run(wanted, |text| process.offer(&text, "service"))
+        .await;
+}
+
+async fn read_vms(process: Rc<Process>, watch: Watch) {
+    let take = |text: String| match serde_json::from_str(&text) {
+        Ok(vms) => {
+            process.vms.replace(vms);
+        }
+        Err(err) => log::error!("event=vms-refused error=\"{err}\""),
+    };
+    watch.run(|| true, take).await;
+}
+
+async fn serve_http(process: Rc<Process>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(TICK_INTERVAL).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let process = process.clone();
+        spawn(async move {
+            let service = service_fn(|request| {
+                let process = process.clone();
+                async move { Ok::<_, std::convert::Infallible>(front::handle(process, request).await) }
+            });
+            let connection = http1::Builder::new()
+                .max_buf_size(MAX_HEAD)
+                .timer(cyper_core::CompioTimer)
+                .serve_connection(HyperStream::new_plain(stream), service);
+            if let Err(err) = connection.await {
+                log::debug!("event=caller-connection error=\"{err}\"");
+            }
+        })
+        .detach();
+    }
+}
