--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -22,14 +22,21 @@
 /// The interval between two reports of a sidecar.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The part of what was foreseen that is forgotten at each report.
+const FORESIGHT_DECAY: Usage = 4;
+
 /// What a sidecar knows of the service that accounts have received.
 ///
 /// The usage of an account is what the home router told, plus what this sidecar has
-/// given since and the router has not yet included.
+/// given since and the router has not yet included, plus what other sidecars will have
+/// given meanwhile. Those that see the same figures decide alike, so the last is taken to
+/// be this sidecar's own service times the number of the others; without it, all of them
+/// would serve the same account until the next figures arrive.
 #[derive(Debug, Default)]
 pub struct View {
     told: BTreeMap<Account, Usage>,
     pending: BTreeMap<Account, Usage>,
+    foreseen: BTreeMap<Account, Usage>,
     batch: BTreeMap<Account, Usage>,
     hints: BTreeMap<Account, (Usage, Router)>,
     sequence: u64,
@@ -39,33 +46,43 @@
 impl View {
     /// Returns the usage of an account.
     pub fn usage(&self, account: Account) -> Usage {
-        [&self.told, &self.pending, &self.batch]
+        [&self.told, &self.pending, &self.batch, &self.foreseen]
             .iter()
             .filter_map(|map| map.get(&account))
             .sum()
     }
 
-    /// Adds service given by this sidecar.
+    /// Adds service given by this sidecar while `others` decide alike.
     ///
     /// ```
     /// let mut view = redwingyard::fair::View::default();
-    /// view.charge(7, 250);
-    /// assert_eq!(view.usage(7), 250);
+    /// view.charge(7, 250, 0);
+    /// view.charge(8, 250, 3);
+    /// assert_eq!((view.usage(7), view.usage(8)), (250, 1_000));
     /// ```
-    pub fn charge(&mut self, account: Account, usage: Usage) {
+    pub fn charge(&mut self, account: Account, usage: Usage, others: u32) {
         if usage > 0 {
             *self.pending.entry(account).or_default() += usage;
+            *self.foreseen.entry(account).or_default() += usage * Usage::from(others);
         }
     }
 
+    /// Forgets a part of what was foreseen and has not come true.
+    pub fn decay(&mut self) {
+        for usage in self.foreseen.values_mut() {
+            *usage -= *usage / FORESIGHT_DECAY;
+        }
+        self.foreseen.retain(|_, usage| *usage >= FORESIGHT_DECAY);
+    }
+
     /// Returns the account to serve next out of backlogged ones with their advances.
     ///
     /// The advance is the expected usage of requests that already run here.
     ///
     /// ```
     /// let mut view = redwingyard::fair::View::default();
-    /// view.charge(1, 10);
-    /// view.charge(2, 30);
+    /// view.charge(1, 10, 0);
+    /// view.charge(2, 30, 0);
     /// assert_eq!(view.next([(1, 0), (2, 0)].into_iter()), Some(1));
     /// assert_eq!(view.next([(1, 50), (2, 0)].into_iter()), Some(2));
     /// ```
@@ -84,7 +101,7 @@
     ///
     /// ```
     /// let mut view = redwingyard::fair::View::default();
-    /// view.charge(1, 500);
+    /// view.charge(1, 500, 0);
     /// view.enter(2, [1].into_iter());
     /// assert_eq!(view.usage(2), 500);
     /// ```
@@ -145,7 +162,11 @@
         for standing in &totals.standings {
             let told = self.told.entry(standing.account).or_default();
             // A router's figure excludes an unacknowledged batch, so the sum stays exact.
-            *told = (*told).max(standing.usage);
+            let grown = standing.usage.saturating_sub(*told);
+            *told += grown;
+            if let Some(foreseen) = self.foreseen.get_mut(&standing.account) {
+                *foreseen = foreseen.saturating_sub(grown);
+            }
             if let Some(router) = standing.router {
                 self.hints
                     .insert(standing.account, (standing.usage, router));
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -286,6 +286,11 @@
         std::mem::take(&mut self.outs)
     }
 
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.settings.incarnation
+    }
+
     /// Returns the requests that have not ended.
     pub fn active(&self) -> usize {
         self.requests.len()
@@ -464,12 +469,17 @@
         }
         targets.sort_unstable();
         targets.dedup();
+        let reach = targets.len() as u32;
         for target in targets {
             let count = self.queues.available(owner, target) as u32;
             if self.links.contains_key(&target) && probes.tell(target, count) {
                 let account = owner.1;
                 let waiting = count;
-                let message = Message::Demand { account, waiting };
+                let message = Message::Demand {
+                    account,
+                    waiting,
+                    reach,
+                };
                 self.outs.push(Output::Send(target, message));
             }
         }
--- a/src/sidecar/answer.rs
+++ b/src/sidecar/answer.rs
@@ -74,13 +74,16 @@
         if offset < self.base || offset > self.length {
             return None;
         }
-        let mut parts = vec![Part {
-            id,
-            offset,
-            head: self.head.clone(),
-            data: Bytes::new(),
-            end: None,
-        }];
+        let mut parts = Vec::new();
+        if self.head.is_some() {
+            parts.push(Part {
+                id,
+                offset,
+                head: self.head.clone(),
+                data: Bytes::new(),
+                end: None,
+            });
+        }
         let mut at = self.base;
         for chunk in &self.chunks {
             let skip = offset.saturating_sub(at).min(chunk.len() as u64);
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -185,6 +185,7 @@
     rules: Rc<Rules>,
     links: BTreeMap<Router, Link>,
     recent: BTreeMap<Account, Time>,
+    reaches: BTreeMap<Account, u32>,
     gone: BTreeMap<Incarnation, Time>,
     view: View,
     grants: BTreeMap<u64, Grant>,
@@ -215,6 +216,7 @@
             rules: Rc::default(),
             links: BTreeMap::new(),
             recent: BTreeMap::new(),
+            reaches: BTreeMap::new(),
             gone: BTreeMap::new(),
             view: View::default(),
             grants: BTreeMap::new(),
@@ -285,6 +287,11 @@
         full
     }
 
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.settings.incarnation
+    }
+
     /// Returns the attempts that the target has.
     pub fn running(&self) -> usize {
         self.runs.len()
@@ -373,7 +380,11 @@
         };
         link.muted = Time::ZERO;
         match message {
-            Message::Demand { account, waiting } => self.demand(now, router, account, waiting),
+            Message::Demand {
+                account,
+                waiting,
+                reach,
+            } => self.demand(now, router, account, waiting, reach),
             Message::Decline { grant } => {
                 self.settle(now, grant);
             }
@@ -386,13 +397,14 @@
         }
     }
 
-    fn demand(&mut self, now: Time, router: Router, account: Account, waiting: u32) {
+    fn demand(&mut self, now: Time, router: Router, account: Account, waiting: u32, reach: u32) {
         if waiting > 0 {
             let backlogged: Vec<_> = self.backlogged().collect();
             if !backlogged.contains(&account) && !self.recent.contains_key(&account) {
                 self.view.enter(account, backlogged.into_iter());
             }
             self.recent.insert(account, now);
+            self.reaches.insert(account, reach);
         }
         let Some(link) = self.links.get_mut(&router) else {
             return;
@@ -504,9 +516,6 @@
             (State::Ready, _) => {}
             (_, Some(parts)) => {
                 let parts = parts.into_iter();
-                let parts = parts.filter(|part| {
-                    part.head.is_some() || part.end.is_some() || !part.data.is_empty()
-                });
                 let sends = parts.map(|part| Output::Send(router, Message::Part(part)));
                 self.outs.extend(sends);
             }
@@ -582,8 +591,9 @@
             .share(self.settings.service, run.dispatch.account);
         let spent = now.saturating_sub(run.since);
         let due = spent.saturating_sub(run.charged);
+        let others = self.others(run.dispatch.account);
         self.view
-            .charge(run.dispatch.account, fair::usage(due, share));
+            .charge(run.dispatch.account, fair::usage(due, share), others);
         run.charged = spent;
         let cost = self.costs.entry(run.dispatch.account).or_insert(spent);
         *cost = smooth(*cost, spent);
@@ -690,6 +700,9 @@
             self.recent.insert(*account, now);
         }
         self.recent.retain(|_, seen| now < *seen + RETURN_TIME);
+        let recent = &self.recent;
+        self.reaches
+            .retain(|account, _| recent.contains_key(account));
         self.view.bound(backlogged.iter().copied());
         if now >= self.reported + REPORT_INTERVAL || self.reported == Time::ZERO {
             self.report(now, backlogged);
@@ -704,12 +717,20 @@
             let share = self
                 .rules
                 .share(self.settings.service, run.dispatch.account);
+            let reach = self.reaches.get(&run.dispatch.account);
+            let others = reach.map_or(0, |reach| reach.saturating_sub(1));
             self.view
-                .charge(run.dispatch.account, fair::usage(due, share));
+                .charge(run.dispatch.account, fair::usage(due, share), others);
             run.charged = spent;
         }
     }
 
+    /// Returns the other sidecars that decide on an account's requests alike.
+    fn others(&self, account: Account) -> u32 {
+        let reach = self.reaches.get(&account);
+        reach.map_or(0, |reach| reach.saturating_sub(1))
+    }
+
     fn expire_grants(&mut self, now: Time) {
         let late = |grant: &Grant| now > grant.since + GRANT_LIFE;
         for grant in self.grants.values().filter(|grant| late(grant)) {
@@ -760,6 +781,7 @@
             return;
         };
         self.reported = now;
+        self.view.decay();
         let report = self.view.report(backlogged);
         self.outs.push(Output::Send(home, Message::Report(report)));
     }
@@ -866,20 +888,17 @@
                 break;
             };
             let routers = waiting.get_mut(&account).expect("the account waits");
-            let (left, router) = routers.pop().expect("a waiting account has a router");
-            if left > 1 {
-                routers.push((left - 1, router));
-                routers.sort_unstable();
-            }
+            let router = self.draw(routers);
             if routers.is_empty() {
                 waiting.remove(&account);
             }
-            *advances.entry(account).or_default() += self.expected(account);
+            let alike = Usage::from(self.others(account) + 1);
+            *advances.entry(account).or_default() += self.expected(account) * alike;
             self.issue(now, router, account);
         }
     }
 
-    /// Returns where requests wait that no grant covers, the fullest router last.
+    /// Returns where requests wait that no grant covers.
     fn waiting(&self, now: Time) -> BTreeMap<Account, Vec<(u32, Router)>> {
         let mut waiting: BTreeMap<_, Vec<_>> = BTreeMap::new();
         for (router, link) in &self.links {
@@ -894,9 +913,6 @@
                 }
             }
         }
-        for routers in waiting.values_mut() {
-            routers.sort_unstable();
-        }
         waiting
     }
 
@@ -918,6 +934,9 @@
         for account in granted.chain(ready) {
             *advances.entry(account).or_default() += self.expected(account);
         }
+        for (account, advance) in &mut advances {
+            *advance *= Usage::from(self.others(*account) + 1);
+        }
         advances
     }
 
@@ -927,6 +946,25 @@
         fair::usage(*cost, self.rules.share(self.settings.service, account))
     }
 
+    /// Takes one request out of those that wait at `routers`, in proportion to them.
+    fn draw(&self, routers: &mut Vec<(u32, Router)>) -> Router {
+        let total: u64 = routers.iter().map(|(left, _)| u64::from(*left)).sum();
+        let mut at = weight(self.settings.target, self.serial) % total.max(1);
+        let found = routers.iter().position(|(left, _)| {
+            let here = at < u64::from(*left);
+            at = at.saturating_sub(u64::from(*left));
+            here
+        });
+        let found = found.unwrap_or_default();
+        let (left, router) = &mut routers[found];
+        *left -= 1;
+        let (left, router) = (*left, *router);
+        if left == 0 {
+            routers.swap_remove(found);
+        }
+        router
+    }
+
     fn issue(&mut self, now: Time, router: Router, account: Account) {
         self.serial += 1;
         let grant = self.serial;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -279,6 +279,8 @@
             account: Account,
             /// The requests.
             waiting: u32,
+            /// The sidecars that know of them.
+            reach: u32,
         },
         /// Free slots that a router may use without asking.
         Offer {
--- /dev/null
+++ b/tests/drive/fleet.rs
@@ -0,0 +1,985 @@
+//! Routers and sidecars with a network between them.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use redwingyard::{
+    config::{
+        Step,
+        Store, //
+    },
+    ids::{
+        self,
+        Sequence,
+        Time,
+        id, //
+    },
+    member,
+    router::{
+        self,
+        Ask,
+        Reply,
+        Router, //
+    },
+    sidecar::{
+        self,
+        Sidecar, //
+    },
+    wire::{
+        Bid,
+        Dispatch,
+        End,
+        Head,
+        Message,
+        RequestId,
+        encode, //
+    },
+};
+
+use super::{
+    plan::{
+        Plan,
+        SERVICE, //
+    },
+    truth::{
+        Call,
+        Outcome,
+        Truth, //
+    },
+};
+
+pub const TICK: Duration = Duration::from_millis(10);
+
+/// The interval at which links are checked, as in the shell.
+const MAINTAIN: Duration = Duration::from_millis(200);
+
+/// The silence after which a link is given up, as in the shell.
+pub const SILENCE: Duration = Duration::from_millis(1_600);
+
+/// The interval of heartbeats, as in the shell.
+const HEARTBEAT: Duration = Duration::from_millis(700);
+
+/// The time after which an idle link outside the subset is dropped, as in the shell.
+const VISIT: Duration = Duration::from_secs(5);
+
+/// The bytes of a packet around its messages: IP, UDP, QUIC and its authentication.
+const PACKET: u64 = 62;
+
+/// A process of the drive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Node {
+    Router(usize),
+    Sidecar(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Message {
+        from: Node,
+        to: Node,
+        link: u64,
+        message: Message,
+    },
+    Tick(Node, u64),
+    Finish {
+        sidecar: usize,
+        life: u64,
+        id: RequestId,
+        call: usize,
+        run: u64,
+    },
+    Arrive {
+        router: usize,
+        account: usize,
+        again: bool,
+    },
+    Open(Node, Node),
+    Lost(Node, Node, u64),
+    Maintain,
+    Heartbeat,
+    Sample,
+}
+
+struct Link {
+    serial: u64,
+    lost: bool,
+    mute: bool,
+}
+
+/// What has passed between processes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub bytes: u64,
+    pub messages: u64,
+}
+
+/// A drive of the decision code.
+pub struct Fleet {
+    pub plan: Plan,
+    pub now: Time,
+    pub truth: Truth,
+    pub routers: Vec<Option<Router>>,
+    pub sidecars: Vec<Option<Sidecar>>,
+    pub stores: BTreeMap<Node, Store>,
+    pub control: BTreeMap<Node, Traffic>,
+    pub kinds: BTreeMap<String, Traffic>,
+    pub spent: BTreeMap<Node, Duration>,
+    pub log: Vec<String>,
+    pub logging: bool,
+    /// The groups that a partition makes; nodes of different groups are cut off.
+    pub groups: BTreeMap<Node, usize>,
+    pub paused: BTreeMap<Node, Time>,
+    rng: fastrand::Rng,
+    events: BTreeMap<(Time, u64), Event>,
+    serial: u64,
+    lives: BTreeMap<Node, u64>,
+    starts: BTreeMap<Node, Time>,
+    links: BTreeMap<(Node, Node), Link>,
+    opening: BTreeSet<(Node, Node)>,
+    visits: BTreeMap<(Node, Node), Time>,
+    calls: BTreeMap<(usize, u64, Sequence), usize>,
+    by_id: HashMap<u32, Node>,
+    running: BTreeMap<(usize, RequestId), (usize, u64)>,
+    packets: BTreeMap<(Node, Node), Time>,
+    arrivals: BTreeMap<(Node, Node), Time>,
+}
+
+impl Fleet {
+    /// Builds and starts a fleet; figures count from `from`.
+    pub fn new(plan: Plan, from: Time) -> Self {
+        let shares: Vec<_> = plan.loads.iter().map(|load| load.share).collect();
+        let slots = plan.targets as u32 * plan.slots;
+        let mut fleet = Self {
+            truth: Truth::new(shares.into_iter(), slots, from),
+            rng: fastrand::Rng::with_seed(plan.seed),
+            now: Time::ZERO,
+            routers: (0..plan.routers).map(|_| None).collect(),
+            sidecars: (0..plan.targets).map(|_| None).collect(),
+            stores: BTreeMap::new(),
+            control: BTreeMap::new(),
+            kinds: BTreeMap::new(),
+            spent: BTreeMap::new(),
+            log: Vec::new(),
+            logging: false,
+            groups: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+            lives: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            links: BTreeMap::new(),
+            opening: BTreeSet::new(),
+            visits: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            by_id: HashMap::new(),
+            running: BTreeMap::new(),
+            packets: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            plan,
+        };
+        let text = fleet.plan.text(1, &[]);
+        for i in 0..fleet.plan.routers {
+            fleet.start(Node::Router(i), &text);
+        }
+        for i in 0..fleet.plan.targets {
+            fleet.start(Node::Sidecar(i), &text);
+        }
+        fleet.at(Time::ZERO, Event::Maintain);
+        fleet.at(Time::ZERO, Event::Heartbeat);
+        fleet.at(from, Event::Sample);
+        fleet.begin_loads();
+        fleet
+    }
+
+    fn begin_loads(&mut self) {
+        for account in 0..self.plan.loads.len() {
+            for router in 0..self.plan.routers {
+                for _ in 0..self.plan.loads[account].callers[router] {
+                    let at = Duration::from_micros(self.rng.u64(500_000..1_000_000));
+                    let again = true;
+                    self.at(
+                        at,
+                        Event::Arrive {
+                            router,
+                            account,
+                            again,
+                        },
+                    );
+                }
+                if self.plan.loads[account].rate[router] > 0.0 {
+                    self.next_arrival(router, account);
+                }
+            }
+        }
+    }
+
+    fn next_arrival(&mut self, router: usize, account: usize) {
+        let rate = self.plan.loads[account].rate[router];
+        let gap = -(1.0 - self.rng.f64()).ln() / rate;
+        let at = self.now.max(Duration::from_millis(500)) + Duration::from_secs_f64(gap);
+        let again = false;
+        self.at(
+            at,
+            Event::Arrive {
+                router,
+                account,
+                again,
+            },
+        );
+    }
+
+    /// Starts a process, empty but for a rules text.
+    pub fn start(&mut self, node: Node, text: &str) {
+        let life = self.lives.entry(node).or_default();
+        *life += 1;
+        let life = *life;
+        self.starts.insert(node, self.now);
+        let name = name_of(node);
+        self.by_id.insert(id(&name), node);
+        let incarnation = self.rng.u64(1..);
+        match node {
+            Node::Router(i) => {
+                self.routers[i] = Some(Router::new(router::Settings {
+                    router: id(&name),
+                    incarnation,
+                    bounds: self.plan.bounds,
+                    seed: self.rng.u64(..),
+                }));
+            }
+            Node::Sidecar(i) => {
+                self.sidecars[i] = Some(Sidecar::new(sidecar::Settings {
+                    target: id(&name),
+                    service: id(SERVICE),
+                    slots: self.plan.slots,
+                    incarnation,
+                    wall: Duration::from_secs(1_000_000) + self.now,
+                }));
+            }
+        }
+        self.stores.insert(node, Store::default());
+        if !text.is_empty() {
+            self.publish(node, text);
+        }
+        let phase = Duration::from_micros(self.rng.u64(..10_000));
+        self.at(self.now + phase, Event::Tick(node, life));
+    }
+
+    /// Stops a process at once.
+    pub fn kill(&mut self, node: Node) {
+        *self.lives.entry(node).or_default() += 1;
+        match node {
+            Node::Router(i) => {
+                self.routers[i] = None;
+                let cut: Vec<_> = self
+                    .calls
+                    .iter()
+                    .filter(|((router, ..), _)| *router == i)
+                    .map(|(key, call)| (*key, *call))
+                    .collect();
+                for (key, call) in cut {
+                    self.calls.remove(&key);
+                    self.truth.end(call, Outcome::Cut);
+                    self.ask_again(call);
+                }
+            }
+            Node::Sidecar(i) => {
+                self.sidecars[i] = None;
+                // The target beside it breaks off what it was doing.
+                let lost: Vec<_> = self
+                    .running
+                    .iter()
+                    .filter(|((sidecar, _), _)| *sidecar == i)
+                    .map(|(key, run)| (*key, *run))
+                    .collect();
+                for (key, (call, run)) in lost {
+                    self.running.remove(&key);
+                    self.truth.finish(self.now, call, run);
+                }
+            }
+        }
+        let links: Vec<_> = self
+            .links
+            .iter()
+            .map(|(ends, link)| (*ends, link.serial))
+            .collect();
+        for ((a, b), serial) in links {
+            if a == node || b == node {
+                self.at(self.now + SILENCE, Event::Lost(a, b, serial));
+            }
+        }
+    }
+
+    /// Offers a rules text to one process, as its watch would.
+    pub fn publish(&mut self, node: Node, text: &str) {
+        let Some(store) = self.stores.get_mut(&node) else {
+            return;
+        };
+        if store.offer(text) != Ok(true) {
+            return;
+        }
+        let rules = store.rules().clone();
+        let version = store.version();
+        match node {
+            Node::Router(i) if self.routers[i].is_some() => {
+                self.router_step(i, router::Input::Rules(rules));
+            }
+            Node::Sidecar(i) if self.sidecars[i].is_some() => {
+                self.sidecar_step(i, sidecar::Input::Rules(rules));
+            }
+            _ => {}
+        }
+        for peer in self.peers(node) {
+            self.send(node, peer, Message::Heartbeat(version));
+        }
+    }
+
+    fn peers(&self, node: Node) -> Vec<Node> {
+        let ends = self.links.keys();
+        ends.filter_map(|(a, b)| match (*a == node, *b == node) {
+            (true, _) => Some(*b),
+            (_, true) => Some(*a),
+            _ => None,
+        })
+        .collect()
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.serial += 1;
+        self.events.insert((time, self.serial), event);
+    }
+
+    /// Runs until a time.
+    pub fn run(&mut self, until: Time) {
+        while let Some((&(at, serial), _)) = self.events.first_key_value() {
+            if at > until {
+                break;
+            }
+            let event = self.events.remove(&(at, serial)).expect("the first event");
+            self.truth.advance(at);
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = until;
+    }
+
+    /// Returns when a paused process that an event is for wakes.
+    fn asleep(&self, event: &Event) -> Option<Time> {
+        let node = match event {
+            Event::Message { to, .. } => *to,
+            Event::Tick(node, _) => *node,
+            Event::Finish { sidecar, .. } => Node::Sidecar(*sidecar),
+            Event::Arrive { router, .. } => Node::Router(*router),
+            _ => return None,
+        };
+        self.paused
+            .get(&node)
+            .copied()
+            .filter(|until| *until > self.now)
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(until) = self.asleep(&event) {
+            return self.at(until, event);
+        }
+        match event {
+            Event::Message {
+                from,
+                to,
+                link,
+                message,
+            } => self.deliver(from, to, link, message),
+            Event::Tick(node, life) => self.tick(node, life),
+            Event::Finish {
+                sidecar,
+                life,
+                id,
+                call,
+                run,
+            } => self.finish(sidecar, life, id, call, run),
+            Event::Arrive {
+                router,
+                account,
+                again,
+            } => self.arrive(router, account, again),
+            Event::Open(a, b) => self.open(a, b),
+            Event::Lost(a, b, serial) => self.lose(a, b, serial),
+            Event::Maintain => self.maintain(),
+            Event::Heartbeat => self.heartbeat(),
+            Event::Sample => {
+                self.truth.sample(self.now);
+                self.at(self.now + TICK, Event::Sample);
+            }
+        }
+    }
+
+    fn is_cut(&self, a: Node, b: Node) -> bool {
+        let group = |node| self.groups.get(&node).copied().unwrap_or_default();
+        group(a) != group(b)
+    }
+
+    fn is_live(&self, node: Node) -> bool {
+        match node {
+            Node::Router(i) => self.routers[i].is_some(),
+            Node::Sidecar(i) => self.sidecars[i].is_some(),
+        }
+    }
+
+    /// Returns the link between two processes, which has its lower end first.
+    fn ends(a: Node, b: Node) -> (Node, Node) {
+        if a < b { (a, b) } else { (b, a) }
+    }
+
+    fn send(&mut self, from: Node, to: Node, message: Message) {
+        let link = match self.links.get(&Self::ends(from, to)) {
+            Some(link) if !link.mute => link.serial,
+            _ => return,
+        };
+        if !matches!(message, Message::Dispatch(_) | Message::Part(_)) {
+            let mut bytes = encode(&message).len() as u64;
+            // Messages of one moment share a packet.
+            if self.packets.insert((from, to), self.now) != Some(self.now) {
+                bytes += PACKET;
+            }
+            let kind = format!("{message:?}");
+            let kind = kind
+                .split(|c: char| !c.is_alphanumeric())
+                .next()
+                .unwrap_or("")
+                .to_owned();
+            let entry = self.kinds.entry(kind).or_default();
+            entry.bytes += bytes;
+            entry.messages += 1;
+            for node in [from, to] {
+                let traffic = self.control.entry(node).or_default();
+                traffic.bytes += bytes;
+                traffic.messages += 1;
+            }
+        }
+        let doubled = self.plan.doubling > 0.0 && self.rng.f64() < self.plan.doubling;
+        for _ in 0..=u32::from(doubled) {
+            let mut at = self.now + self.plan.delay;
+            if self.plan.jitter > Duration::ZERO {
+                at += Duration::from_micros(self.rng.u64(..self.plan.jitter.as_micros() as u64));
+            }
+            let event = Event::Message {
+                from,
+                to,
+                link,
+                message: message.clone(),
+            };
+            self.at(at, event);
+        }
+    }
+
+    fn deliver(&mut self, from: Node, to: Node, link: u64, message: Message) {
+        let current = self
+            .links
+            .get(&Self::ends(from, to))
+            .map(|link| link.serial);
+        if current != Some(link) || self.is_cut(from, to) || !self.is_live(to) {
+            return;
+        }
+        let Some(message) = self.govern(from, to, message) else {
+            return;
+        };
+        match (from, to) {
+            (Node::Sidecar(i), Node::Router(j)) => {
+                let target = id(&name_of(Node::Sidecar(i)));
+                self.router_step(j, router::Input::Message { target, message });
+            }
+            (Node::Router(i), Node::Sidecar(j)) => {
+                let router = id(&name_of(Node::Router(i)));
+                self.sidecar_step(j, sidecar::Input::Message { router, message });
+            }
+            (Node::Router(i), Node::Router(j)) => {
+                let router = id(&name_of(Node::Router(i)));
+                self.router_step(j, router::Input::PeerMessage { router, message });
+            }
+            _ => {}
+        }
+    }
+
+    /// Handles messages about rules as the shell does.
+    fn govern(&mut self, from: Node, to: Node, message: Message) -> Option<Message> {
+        match message {
+            Message::Heartbeat(version) => {
+                if self.stores[&to].compare(version) == Step::Fetch {
+                    self.send(to, from, Message::Fetch);
+                }
+            }
+            Message::Fetch => {
+                let text = self.stores[&to].text().to_owned();
+                self.send(to, from, Message::Rules(text));
+            }
+            Message::Rules(text) => self.publish(to, &text),
+            other => return Some(other),
+        }
+        None
+    }
+
+    fn tick(&mut self, node: Node, life: u64) {
+        if self.lives[&node] != life {
+            return;
+        }
+        match node {
+            Node::Router(i) => self.router_step(i, router::Input::Tick),
+            Node::Sidecar(i) => self.sidecar_step(i, sidecar::Input::Tick),
+        }
+        self.at(self.now + TICK, Event::Tick(node, life));
+    }
+
+    pub fn router_step(&mut self, i: usize, input: router::Input) {
+        let time = self.local(Node::Router(i));
+        let Some(router) = self.routers[i].as_mut() else {
+            return;
+        };
+        let start = Instant::now();
+        let outs = router.step(time, input);
+        *self.spent.entry(Node::Router(i)).or_default() += start.elapsed();
+        self.router_outs(i, outs);
+    }
+
+    fn router_outs(&mut self, i: usize, outs: Vec<router::Output>) {
+        for out in outs {
+            match out {
+                router::Output::Send(target, message) => {
+                    let to = self.by_id[&target];
+                    self.send(Node::Router(i), to, message);
+                }
+                router::Output::SendPeer(router, message) => {
+                    let to = self.by_id[&router];
+                    self.send(Node::Router(i), to, message);
+                }
+                router::Output::Reply(sequence, reply) => self.reply(i, sequence, reply),
+                router::Output::Drained => {}
+                router::Output::Log(event) => self.note(Node::Router(i), &event),
+            }
+        }
+    }
+
+    fn note(&mut self, node: Node, event: &dyn std::fmt::Display) {
+        if self.logging {
+            let time = self.now.as_micros();
+            self.log.push(format!("{time} {} {event}", name_of(node)));
+        }
+    }
+
+    /// Returns the time on a process's own clock.
+    fn local(&self, node: Node) -> Time {
+        self.now - self.starts.get(&node).copied().unwrap_or_default()
+    }
+
+    pub fn sidecar_step(&mut self, i: usize, input: sidecar::Input) {
+        let time = self.local(Node::Sidecar(i));
+        let Some(sidecar) = self.sidecars[i].as_mut() else {
+            return;
+        };
+        let start = Instant::now();
+        let outs = sidecar.step(time, input);
+        *self.spent.entry(Node::Sidecar(i)).or_default() += start.elapsed();
+        for out in outs {
+            match out {
+                sidecar::Output::Send(router, message) => {
+                    let to = self.by_id[&router];
+                    self.send(Node::Sidecar(i), to, message);
+                }
+                sidecar::Output::Run(dispatch) => self.begin(i, &dispatch),
+                sidecar::Output::Abort(id) => {
+                    if let Some((call, run)) = self.running.remove(&(i, id)) {
+                        self.truth.finish(self.now, call, run);
+                    }
+                }
+                sidecar::Output::Seek(router) => {
+                    let to = self.by_id[&router];
+                    self.visits.insert((Node::Sidecar(i), to), self.now);
+                }
+                sidecar::Output::Resume(_) | sidecar::Output::Drained => {}
+                sidecar::Output::Log(event) => self.note(Node::Sidecar(i), &event),
+            }
+        }
+    }
+
+    fn begin(&mut self, sidecar: usize, dispatch: &Dispatch) {
+        let call: usize = dispatch
+            .head
+            .path
+            .parse()
+            .expect("the path is the call's number");
+        let run = self.truth.begin(self.now, call);
+        let account = self.truth.calls[call].account;
+        let cost = self.plan.cost(call, account) * self.plan.slow[sidecar];
+        self.running.insert((sidecar, dispatch.id), (call, run));
+        let life = self.lives[&Node::Sidecar(sidecar)];
+        let event = Event::Finish {
+            sidecar,
+            life,
+            id: dispatch.id,
+            call,
+            run,
+        };
+        self.at(self.now + cost, event);
+    }
+
+    fn finish(&mut self, i: usize, life: u64, id: RequestId, call: usize, run: u64) {
+        if self.lives[&Node::Sidecar(i)] != life || self.running.remove(&(i, id)).is_none() {
+            return;
+        }
+        self.truth.finish(self.now, call, run);
+        let head = Head {
+            status: 200,
+            method: String::new(),
+            path: String::new(),
+            fields: Vec::new(),
+        };
+        let data = bytes::Bytes::from(call.to_string());
+        let end = End {
+            length: data.len() as u64,
+            trailers: Vec::new(),
+        };
+        let input = sidecar::Input::Answer {
+            id,
+            head: Some(head),
+            data,
+            end: Some(end),
+        };
+        self.sidecar_step(i, input);
+    }
+
+    fn arrive(&mut self, router: usize, account: usize, again: bool) {
+        if !again {
+            self.next_arrival(router, account);
+        }
+        let load = &self.plan.loads[account];
+        if !load.is_active(self.now) {
+            if again {
+                let at = self.now + Duration::from_millis(100);
+                self.at(
+                    at,
+                    Event::Arrive {
+                        router,
+                        account,
+                        again,
+                    },
+                );
+            }
+            return;
+        }
+        if self.routers[router].is_none() {
+            // The platform's balancer sends callers to a router that lives.
+            let live = (0..self.plan.routers).filter(|i| self.routers[*i].is_some());
+            let live: Vec<_> = live.collect();
+            let to = live.get(account % live.len().max(1)).copied();
+            let (at, router) = match to {
+                Some(router) => (self.now, router),
+                None => (self.now + TICK, router),
+            };
+            return self.at(
+                at,
+                Event::Arrive {
+                    router,
+                    account,
+                    again,
+                },
+            );
+        }
+        let write = load.write;
+        self.ask(router, account, write, None, again);
+    }
+
+    /// Sends a request of a caller to a router and returns its number.
+    pub fn ask(
+        &mut self,
+        router: usize,
+        account: usize,
+        write: bool,
+        key: Option<Bid>,
+        again: bool,
+    ) -> usize {
+        let call = self.truth.arrive(Call {
+            account,
+            router,
+            arrived: self.now,
+            write,
+            again,
+            key: key.map(|key| key.key),
+            waiting: true,
+            begun: None,
+            runs: 0,
+            outcome: None,
+        });
+        let head = Head {
+            status: 0,
+            method: "POST".to_owned(),
+            path: call.to_string(),
+            fields: Vec::new(),
+        };
+        let ask = Ask {
+            account: id(&self.plan.account(account)),
+            service: id(SERVICE),
+            head: Rc::new(head),
+            body: bytes::Bytes::new(),
+            write: write.then_some(1),
+            bid: key,
+            conversation: None,
+            limit: self.plan.limit,
+        };
+        let time = self.local(Node::Router(router));
+        let life = self.lives[&Node::Router(router)];
+        let Some(core) = self.routers[router].as_mut() else {
+            self.truth.end(call, Outcome::Cut);
+            return call;
+        };
+        let start = Instant::now();
+        let (sequence, outs) = core.arrive(time, ask);
+        *self.spent.entry(Node::Router(router)).or_default() += start.elapsed();
+        self.calls.insert((router, life, sequence), call);
+        self.router_outs(router, outs);
+        call
+    }
+
+    fn reply(&mut self, router: usize, sequence: Sequence, reply: Reply) {
+        let life = self.lives[&Node::Router(router)];
+        let key = (router, life, sequence);
+        let Some(call) = self.calls.get(&key).copied() else {
+            return;
+        };
+        let outcome = match reply {
+            Reply::Head(_) => return,
+            Reply::Data(data) => {
+                let own =
+                    data == call.to_string().as_bytes() || self.truth.calls[call].key.is_some();
+                assert!(own, "call {call} got another answer");
+                return;
+            }
+            Reply::End(_) => Outcome::Whole,
+            Reply::Refuse(refusal) => Outcome::Refused(refusal),
+            Reply::Break => Outcome::Broken,
+        };
+        self.calls.remove(&key);
+        self.truth.end(call, outcome);
+        if self.logging {
+            self.log.push(format!(
+                "{} caller {call} {outcome:?}",
+                self.now.as_micros()
+            ));
+        }
+        self.ask_again(call);
+    }
+
+    fn ask_again(&mut self, call: usize) {
+        let call = &self.truth.calls[call];
+        if call.again {
+            let (router, account, again) = (call.router, call.account, true);
+            let at = self.now + self.plan.delay * 2;
+            self.at(
+                at,
+                Event::Arrive {
+                    router,
+                    account,
+                    again,
+                },
+            );
+        }
+    }
+
+    fn maintain(&mut self) {
+        let routers: Vec<_> = (0..self.plan.routers)
+            .map(|i| id(&name_of(Node::Router(i))))
+            .collect();
+        for i in 0..self.plan.targets {
+            let me = Node::Sidecar(i);
+            if self.is_asleep(me) || self.sidecars[i].is_none() {
+                continue;
+            }
+            let subset = member::subset(id(&name_of(me)), &routers, member::SUBSET);
+            let mut wanted: BTreeSet<_> = subset.iter().map(|router| self.by_id[router]).collect();
+            for (from, to) in self.visits.keys() {
+                if *from == me {
+                    wanted.insert(*to);
+                }
+            }
+            for peer in self.peers(me) {
+                let idle = self.sidecars[i]
+                    .as_ref()
+                    .is_some_and(|core| core.is_idle(id(&name_of(peer))));
+                let since = self.visits.get(&(me, peer)).copied().unwrap_or_default();
+                if !subset.contains(&id(&name_of(peer))) && idle && self.now > since + VISIT {
+                    self.visits.remove(&(me, peer));
+                    wanted.remove(&peer);
+                    if let Some(serial) = self.links.get(&Self::ends(me, peer)).map(|l| l.serial) {
+                        let (a, b) = Self::ends(me, peer);
+                        self.at(self.now + self.plan.delay, Event::Lost(a, b, serial));
+                    }
+                }
+            }
+            for peer in wanted {
+                self.dial(me, peer);
+            }
+        }
+        for i in 0..self.plan.routers {
+            let me = Node::Router(i);
+            if self.is_asleep(me) || self.routers[i].is_none() {
+                continue;
+            }
+            let parents = member::parents(routers[i], &routers);
+            let parents = parents.into_iter().map(|parent| self.by_id[&parent]);
+            let parent = parents
+                .filter(|parent| self.is_live(*parent) && !self.is_cut(me, *parent))
+                .find(|parent| !self.is_asleep(*parent));
+            if let Some(parent) = parent {
+                self.dial(me, parent);
+            }
+        }
+        self.at(self.now + MAINTAIN, Event::Maintain);
+    }
+
+    fn is_asleep(&self, node: Node) -> bool {
+        self.paused
+            .get(&node)
+            .is_some_and(|until| *until > self.now)
+    }
+
+    fn dial(&mut self, from: Node, to: Node) {
+        let ends = Self::ends(from, to);
+        let ready = self.is_live(to) && !self.is_cut(from, to) && !self.is_asleep(to);
+        if ready && !self.links.contains_key(&ends) && self.opening.insert(ends) {
+            self.at(self.now + self.plan.delay * 4, Event::Open(ends.0, ends.1));
+        }
+    }
+
+    fn open(&mut self, a: Node, b: Node) {
+        self.opening.remove(&(a, b));
+        if !self.is_live(a) || !self.is_live(b) || self.is_cut(a, b) {
+            return;
+        }
+        self.serial += 1;
+        let serial = self.serial;
+        let link = Link {
+            serial,
+            lost: false,
+            mute: false,
+        };
+        self.links.insert((a, b), link);
+        for (me, peer) in [(a, b), (b, a)] {
+            self.up(me, peer);
+            let version = self.stores[&me].version();
+            self.send(me, peer, Message::Heartbeat(version));
+        }
+    }
+
+    fn up(&mut self, me: Node, peer: Node) {
+        let peer_id = id(&name_of(peer));
+        let incarnation = self.incarnation(peer).expect("the peer lives");
+        match (me, peer) {
+            (Node::Router(i), Node::Sidecar(_)) => self.router_step(
+                i,
+                router::Input::Up {
+                    target: peer_id,
+                    service: id(SERVICE),
+                    incarnation,
+                },
+            ),
+            (Node::Router(i), Node::Router(_)) => {
+                self.router_step(i, router::Input::PeerUp { router: peer_id });
+            }
+            (Node::Sidecar(i), _) => self.sidecar_step(
+                i,
+                sidecar::Input::Up {
+                    router: peer_id,
+                    incarnation,
+                },
+            ),
+        }
+    }
+
+    fn incarnation(&self, node: Node) -> Option<ids::Incarnation> {
+        match node {
+            Node::Router(i) => self.routers[i].as_ref().map(Router::incarnation),
+            Node::Sidecar(i) => self.sidecars[i].as_ref().map(Sidecar::incarnation),
+        }
+    }
+
+    /// Gives a link up at both ends.
+    fn lose(&mut self, a: Node, b: Node, serial: u64) {
+        if self.links.get(&(a, b)).map(|link| link.serial) != Some(serial) {
+            return;
+        }
+        self.links.remove(&(a, b));
+        for (me, peer) in [(a, b), (b, a)] {
+            let peer_id = id(&name_of(peer));
+            match (me, peer) {
+                (Node::Router(i), Node::Sidecar(_)) => {
+                    self.router_step(i, router::Input::Down { target: peer_id });
+                }
+                (Node::Router(i), Node::Router(_)) => {
+                    self.router_step(i, router::Input::PeerDown { router: peer_id });
+                }
+                (Node::Sidecar(i), _) => {
+                    self.sidecar_step(i, sidecar::Input::Down { router: peer_id });
+                }
+            }
+        }
+    }
+
+    /// Breaks a link without telling either end, until the silence is noticed.
+    pub fn silence(&mut self, a: Node, b: Node) {
+        let ends = Self::ends(a, b);
+        if let Some(link) = self.links.get_mut(&ends) {
+            // What is on its way is lost too.
+            self.serial += 1;
+            link.serial = self.serial;
+            link.lost = true;
+            link.mute = true;
+            let serial = self.serial;
+            self.at(self.now + SILENCE, Event::Lost(ends.0, ends.1, serial));
+        }
+    }
+
+    /// Sends heartbeats and notices the links that a cut or a pause has silenced.
+    fn heartbeat(&mut self) {
+        let links: Vec<_> = self
+            .links
+            .iter()
+            .map(|(ends, link)| (*ends, link.serial, link.lost))
+            .collect();
+        for ((a, b), serial, lost) in links {
+            let quiet = self.is_cut(a, b) || self.is_asleep(a) || self.is_asleep(b);
+            if quiet && !lost {
+                if let Some(link) = self.links.get_mut(&(a, b)) {
+                    link.lost = true;
+                }
+                self.at(self.now + SILENCE, Event::Lost(a, b, serial));
+                continue;
+            }
+            for (from, to) in [(a, b), (b, a)] {
+                let version = self.stores[&from].version();
+                self.send(from, to, Message::Heartbeat(version));
+            }
+        }
+        self.at(self.now + HEARTBEAT, Event::Heartbeat);
+    }
+
+    /// Returns the most control bytes a second of any process since `from`.
+    pub fn control_rate(&self, span: Duration) -> f64 {
+        let most = self.control.values().map(|traffic| traffic.bytes).max();
+        most.unwrap_or_default() as f64 / span.as_secs_f64()
+    }
+}
+
+/// Returns the name of a process.
+pub fn name_of(node: Node) -> String {
+    match node {
+        Node::Router(i) => format!("router-{i}"),
+        Node::Sidecar(i) => format!("target-{i}"),
+    }
+}
