Exchange figures in waves and spend fewer control bytes

Cause: figures crossed the tree one timer at a time, so they were 2 to 3 s old at 24 routers; every answer, heartbeat and change of a queue had a packet of its own (acks 18%, demand 17%, grants 17%, heartbeats 19% of the control bytes). Change: figures travel towards the root and back in one wave a second; a link that carries other messages sends no heartbeat; arrived answers are noted beside the next dispatch; a sidecar hears of a queue again only when its number is off by four times; the tree has a fan-out of two.

--- a/benches/fairness/bounds.rs
+++ b/benches/fairness/bounds.rs
@@ -49,8 +49,8 @@
     missed
 }
 
-/// Prints one line.
-pub(super) fn print(scenario: &Scenario, figures: &Figures, missed: &[&str]) {
+/// Returns the line of one policy.
+pub(super) fn line(scenario: &Scenario, figures: &Figures, missed: &[&str]) -> String {
     let mut line = format!(
         "scenario={} policy={} gap_s={:.2} gap_bound_s={:.1} utilisation={:.4}",
         scenario.name,
@@ -76,5 +76,5 @@
     if !missed.is_empty() {
         line += &format!(" missed={}", missed.join(","));
     }
-    println!("{line}");
+    line
 }
--- a/benches/fairness/main.rs
+++ b/benches/fairness/main.rs
@@ -12,8 +12,17 @@
 mod drive;
 
 use std::{
+    collections::BTreeMap,
     process::ExitCode,
-    time::Duration, //
+    sync::{
+        Mutex,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    thread,
+    time::Duration,
 };
 
 use bounds::Figures;
@@ -29,15 +38,12 @@
         .skip(1)
         .filter(|arg| arg != "--bench")
         .collect();
-    let mut missed = 0;
-    for scenario in scenario::all() {
-        if only
-            .iter()
+    let chosen = |scenario: &Scenario| {
+        only.iter()
             .all(|word| scenario.name.contains(word.as_str()))
-        {
-            missed += measure(&scenario);
-        }
-    }
+    };
+    let scenarios: Vec<_> = scenario::all().into_iter().filter(chosen).collect();
+    let missed = measure_all(&scenarios);
     println!("bounds_missed={missed}");
     match missed {
         0 => ExitCode::SUCCESS,
@@ -45,14 +51,48 @@
     }
 }
 
-/// Runs one scenario with the decision code and the baselines.
-fn measure(scenario: &Scenario) -> usize {
+/// Runs scenarios on every core and prints their lines in order.
+fn measure_all(scenarios: &[Scenario]) -> usize {
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(BTreeMap::new());
+    let workers = thread::available_parallelism().map_or(1, usize::from);
+    thread::scope(|scope| {
+        for _ in 0..workers {
+            scope.spawn(|| {
+                loop {
+                    let i = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(scenario) = scenarios.get(i) else {
+                        return;
+                    };
+                    let result = measure(scenario);
+                    results.lock().expect("no holder panics").insert(i, result);
+                }
+            });
+        }
+    });
+    let results = results.into_inner().expect("no holder panics");
+    for (lines, _) in results.values() {
+        lines.iter().for_each(|line| println!("{line}"));
+    }
+    results.values().map(|(_, missed)| missed).sum()
+}
+
+/// Runs one scenario with the decision code and the baselines; returns the lines to
+/// print and the number of bounds missed.
+fn measure(scenario: &Scenario) -> (Vec<String>, usize) {
     let mut fleet = Fleet::new(scenario.plan.clone(), WARM_UP);
     fleet.run(WARM_UP);
     fleet.control.clear();
     fleet.spent.clear();
-    scenario.run(&mut fleet);
+    let mut lines = scenario.run(&mut fleet);
     let span = scenario.span;
+    if std::env::var("DBG").is_ok() {
+        eprintln!("{:?}", fleet.kinds);
+        let mut c: Vec<_> = fleet.control.iter().map(|(n, t)| (t.bytes, *n)).collect();
+        c.sort();
+        c.reverse();
+        eprintln!("{:?}", &c[..30.min(c.len())]);
+    }
     let figures = Figures {
         name: "redwingyard",
         gap: fleet.truth.gap,
@@ -67,14 +107,14 @@
     };
     let limit = baseline::run(scenario, baseline::Policy::Omniscient);
     let missed = bounds::check(scenario, &figures, &limit);
-    bounds::print(scenario, &figures, &missed);
-    bounds::print(scenario, &limit, &[]);
+    lines.push(bounds::line(scenario, &figures, &missed));
+    lines.push(bounds::line(scenario, &limit, &[]));
     for policy in [
         baseline::Policy::LeastLoaded,
         baseline::Policy::RouterShares,
     ] {
         let figures = baseline::run(scenario, policy);
-        bounds::print(scenario, &figures, &[]);
+        lines.push(bounds::line(scenario, &figures, &[]));
     }
-    missed.len()
+    (lines, missed.len())
 }
--- a/benches/fairness/scenario.rs
+++ b/benches/fairness/scenario.rs
@@ -12,8 +12,9 @@
 
 const SEED: u64 = 20_260;
 
-/// The span of the figures.
+/// The span of the figures, and the same for the larger deployments.
 const SPAN: Duration = Duration::from_secs(40);
+const LARGE_SPAN: Duration = Duration::from_secs(30);
 
 /// The largest cost in proportion to the typical one, and the same for heavy tails.
 const MAX_SPREAD: f64 = 1.5;
@@ -138,7 +139,10 @@
         name: format!("{}-{name}", size.name),
         plan: Plan::new(size.routers, size.targets, SLOTS, loads, SEED),
         groups,
-        span: SPAN,
+        span: match size.accounts {
+            ..64 => SPAN,
+            _ => LARGE_SPAN,
+        },
         fault: Fault::None,
         faults: false,
         gap_bounded: true,
@@ -228,8 +232,9 @@
         2.0 * 2.0 * worst
     }
 
-    /// Runs the fleet through the span of the figures.
-    pub(super) fn run(&self, fleet: &mut Fleet) {
+    /// Runs the fleet through the span of the figures; returns lines about its phases.
+    pub(super) fn run(&self, fleet: &mut Fleet) -> Vec<String> {
+        let mut lines = Vec::new();
         let start = fleet.now;
         match self.fault {
             Fault::None => {}
@@ -264,14 +269,15 @@
                 fleet.groups.clear();
                 // The gap must be bounded again ten seconds after the partition.
                 fleet.run(start + Duration::from_secs(33));
-                println!(
+                lines.push(format!(
                     "scenario={} phase=partition gap_s={:.2}",
                     self.name, fleet.truth.gap
-                );
+                ));
                 fleet.truth.reset_gap();
             }
         }
         fleet.run(start + self.span);
+        lines
     }
 
     /// Returns the median and the 99th percentile of the waits of each group.
--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -1,7 +1,10 @@
 //! A router's table of the service that accounts have received from the whole fleet.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -17,6 +20,7 @@
         Usage, //
     },
     wire::{
+        Entry,
         Exchange,
         Hint,
         Report,
@@ -27,10 +31,10 @@
 };
 
 /// The interval between two exchanges of routers.
-pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The time that an observation of a backlog is believed.
-const HINT_LIFE: Duration = Duration::from_secs(3);
+const HINT_LIFE: Duration = Duration::from_secs(15);
 
 /// The time that a sidecar's interest in an account lasts.
 const INTEREST_LIFE: Duration = Duration::from_secs(10);
@@ -44,7 +48,7 @@
 /// A backlog observed at a router.
 #[derive(Clone, Copy, Debug)]
 struct Backlog {
-    router: Router,
+    router: Option<Router>,
     waiting: u32,
     seen: Time,
     via: Option<Router>,
@@ -108,13 +112,15 @@
 
     /// Returns the accounts that wait somewhere in the fleet.
     pub fn backlogged(&self) -> impl Iterator<Item = Account> + Clone {
-        self.backlogs.keys().copied()
+        let waits =
+            |(account, seen): (&Account, &Vec<Backlog>)| (!seen.is_empty()).then_some(*account);
+        self.backlogs.iter().filter_map(waits)
     }
 
     /// Notes how many requests of an account wait at this router.
     pub fn observe(&mut self, now: Time, router: Router, account: Account, waiting: u32) {
         let backlog = Backlog {
-            router,
+            router: Some(router),
             waiting,
             seen: now,
             via: None,
@@ -122,7 +128,7 @@
         self.note(account, backlog);
     }
 
-    /// Takes in a sidecar's report and returns the answer to it.
+    /// Takes in a sidecar's report.
     ///
     /// ```
     /// use std::time::Duration;
@@ -135,17 +141,10 @@
     ///     wanted: vec![7],
     /// };
     /// table.report(Duration::ZERO, 3, 99, &report);
-    /// let totals = table.report(Duration::ZERO, 3, 99, &report);
+    /// table.report(Duration::ZERO, 3, 99, &report);
     /// assert_eq!(table.usage(7), 40);
-    /// assert_eq!(totals.sequence, 1);
     /// ```
-    pub fn report(
-        &mut self,
-        now: Time,
-        target: Target,
-        incarnation: Incarnation,
-        report: &Report,
-    ) -> Totals {
+    pub fn report(&mut self, now: Time, target: Target, incarnation: Incarnation, report: &Report) {
         let leaf = self.leaves.entry(target).or_default();
         if leaf.incarnation != incarnation {
             *leaf = Leaf {
@@ -165,7 +164,15 @@
             }
         }
         self.level = self.level.max(report.level);
-        self.totals(now, target)
+    }
+
+    /// Returns what to tell each sidecar whose home is this router.
+    pub fn all_totals(&mut self, now: Time) -> Vec<(Target, Totals)> {
+        let targets: Vec<_> = self.leaves.keys().copied().collect();
+        targets
+            .into_iter()
+            .filter_map(|target| Some((target, self.totals(now, target)?)))
+            .collect()
     }
 
     /// Forgets a sidecar that has gone.
@@ -185,21 +192,15 @@
     /// Ends a link to another router.
     pub fn unlink(&mut self, peer: Router) {
         self.edges.remove(&peer);
+        self.forget_backlogs(Some(peer));
     }
 
     /// Returns what to tell a linked router.
-    pub fn exchange(&mut self, now: Time, peer: Router) -> Option<Exchange> {
+    pub fn exchange(&mut self, peer: Router) -> Option<Exchange> {
+        let entries = self.entries(peer)?;
+        let hints = self.hints(peer);
         let edge = self.edges.get_mut(&peer)?;
         edge.sent += 1;
-        let tallies = edge
-            .out
-            .iter()
-            .filter(|(_, (_, changed))| *changed > edge.acked)
-            .map(|(account, (usage, _))| Tally {
-                account: *account,
-                usage: *usage,
-            })
-            .collect();
         let base = match edge.acked < edge.based {
             true => tallies_of(&self.usage),
             false => Vec::new(),
@@ -210,11 +211,33 @@
             ack: edge.received,
             level: self.level,
             base,
-            tallies,
-            hints: self.hints(now, peer),
+            entries,
+            hints,
         })
     }
 
+    /// Returns the accounts of this side that have changed or wait.
+    fn entries(&self, peer: Router) -> Option<Vec<Entry>> {
+        let edge = self.edges.get(&peer)?;
+        let changed = edge.out.iter().filter(|(_, out)| out.1 > edge.acked);
+        let changed = changed.map(|(account, _)| *account);
+        let waiting = self.backlogged();
+        let accounts: BTreeSet<_> = changed.chain(waiting).collect();
+        let entry = |account| {
+            let backlog = self.fullest(account, Some(peer));
+            let waiting = backlog.map_or(0, |backlog| backlog.waiting);
+            let usage = edge.out.get(&account).map_or(0, |out| out.0);
+            let known = edge.out.get(&account).is_none_or(|out| out.1 <= edge.acked);
+            let silent = waiting == 0 && known;
+            (!silent).then_some(Entry {
+                account,
+                usage,
+                waiting: logarithm(waiting),
+            })
+        };
+        Some(accounts.into_iter().filter_map(entry).collect())
+    }
+
     /// Takes in what a linked router tells.
     pub fn merge(&mut self, now: Time, peer: Router, exchange: &Exchange) {
         let Some(edge) = self.edges.get_mut(&peer) else {
@@ -225,10 +248,10 @@
         edge.received = edge.received.max(exchange.sequence);
         edge.acked = edge.acked.max(exchange.ack);
         let mut grown = Vec::new();
-        for tally in &exchange.tallies {
-            let seen = edge.seen.entry(tally.account).or_default();
-            grown.push((tally.account, tally.usage.saturating_sub(*seen)));
-            *seen = tally.usage.max(*seen);
+        for entry in &exchange.entries {
+            let seen = edge.seen.entry(entry.account).or_default();
+            grown.push((entry.account, entry.usage.saturating_sub(*seen)));
+            *seen = entry.usage.max(*seen);
         }
         if !first {
             for (account, usage) in grown {
@@ -237,15 +260,19 @@
         }
         self.adopt(peer, &exchange.base);
         self.level = self.level.max(exchange.level);
-        for hint in &exchange.hints {
-            let age = Duration::from_millis(u64::from(hint.age));
+        self.forget_backlogs(Some(peer));
+        for entry in exchange.entries.iter().filter(|entry| entry.waiting > 0) {
+            let hint = exchange
+                .hints
+                .iter()
+                .find(|hint| hint.account == entry.account);
             let backlog = Backlog {
-                router: hint.router,
-                waiting: hint.waiting,
-                seen: now.saturating_sub(age),
+                router: hint.map(|hint| hint.router),
+                waiting: 1 << (entry.waiting - 1).min(30),
+                seen: now,
                 via: Some(peer),
             };
-            self.note(hint.account, backlog);
+            self.note(entry.account, backlog);
         }
     }
 
@@ -256,7 +283,7 @@
             seen.retain(|backlog| backlog.waiting > 0 && fresh(backlog.seen));
         }
         self.backlogs.retain(|_, seen| !seen.is_empty());
-        let usages = self.backlogs.keys().map(|account| self.usage(*account));
+        let usages = self.backlogged().map(|account| self.usage(account));
         let floor = usages.max().unwrap_or(0).saturating_sub(MAX_LEAD);
         let accounts: Vec<_> = self.backlogged().collect();
         for account in accounts {
@@ -281,17 +308,17 @@
         self.usage.len() * pair + edges + leaves + backlogs
     }
 
-    fn totals(&mut self, now: Time, target: Target) -> Totals {
-        let mut least: Vec<_> = self.backlogs.keys().copied().collect();
+    /// Returns the backlogged accounts with the least service.
+    fn least(&self) -> Vec<Account> {
+        let mut least: Vec<_> = self.backlogged().collect();
         least.sort_by_key(|account| self.usage(*account));
         least.truncate(LEAST_TOLD);
-        let Some(leaf) = self.leaves.get_mut(&target) else {
-            return Totals {
-                sequence: 0,
-                level: self.level,
-                standings: Vec::new(),
-            };
-        };
+        least
+    }
+
+    fn totals(&mut self, now: Time, target: Target) -> Option<Totals> {
+        let least = self.least();
+        let leaf = self.leaves.get_mut(&target)?;
         leaf.interest
             .retain(|_, seen| now.saturating_sub(*seen) < INTEREST_LIFE);
         let mut standings = Vec::new();
@@ -312,27 +339,25 @@
             standings.push(Standing {
                 account,
                 usage: self.usage(account),
-                router: self.fullest(account, None).map(|backlog| backlog.router),
+                router: self
+                    .fullest(account, None)
+                    .and_then(|backlog| backlog.router),
             });
         }
-        Totals {
+        Some(Totals {
             sequence,
             level: self.level,
             standings,
-        }
+        })
     }
 
-    fn hints(&self, now: Time, peer: Router) -> Vec<Hint> {
-        let fullest = |account: &Account| {
-            let backlog = self.fullest(*account, Some(peer))?;
-            Some(Hint {
-                account: *account,
-                router: backlog.router,
-                waiting: backlog.waiting,
-                age: now.saturating_sub(backlog.seen).as_millis() as u32,
-            })
+    fn hints(&self, peer: Router) -> Vec<Hint> {
+        let hint = |account| {
+            let backlog = self.fullest(account, Some(peer))?;
+            let router = backlog.router?;
+            Some(Hint { account, router })
         };
-        self.backlogs.keys().filter_map(fullest).collect()
+        self.least().into_iter().filter_map(hint).collect()
     }
 
     /// Returns where most requests of an account wait, `except` what a peer told.
@@ -345,9 +370,17 @@
             .copied()
     }
 
+    /// Drops what a peer has told of backlogs; accounts that it names again soon do not
+    /// count as returning.
+    fn forget_backlogs(&mut self, peer: Option<Router>) {
+        for seen in self.backlogs.values_mut() {
+            seen.retain(|backlog| backlog.via != peer);
+        }
+    }
+
     fn note(&mut self, account: Account, backlog: Backlog) {
         if !self.backlogs.contains_key(&account) && backlog.waiting > 0 {
-            let usages = self.backlogs.keys().map(|other| self.usage(*other));
+            let usages = self.backlogged().map(|other| self.usage(other));
             let floor = usages.min().unwrap_or(self.level);
             self.raise(account, floor);
         }
@@ -356,9 +389,6 @@
         if backlog.waiting > 0 {
             seen.push(backlog);
         }
-        if seen.is_empty() {
-            self.backlogs.remove(&account);
-        }
     }
 
     /// Adds service counted behind `via`, or by a sidecar, and passes it on.
@@ -403,6 +433,11 @@
     }
 }
 
+/// Returns zero for zero, and one more than the binary logarithm for other numbers.
+fn logarithm(number: u32) -> u8 {
+    (u32::BITS - number.leading_zeros()) as u8
+}
+
 fn tallies_of(usage: &BTreeMap<Account, Usage>) -> Vec<Tally> {
     usage
         .iter()
--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -20,10 +20,10 @@
 };
 
 /// The interval between two reports of a sidecar.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The part of what was foreseen that is forgotten at each report.
-const FORESIGHT_DECAY: Usage = 4;
+const FORESIGHT_DECAY: Usage = 16;
 
 /// What a sidecar knows of the service that accounts have received.
 ///
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -9,7 +9,7 @@
 pub const SUBSET: usize = 6;
 
 /// The children of a router in the exchange tree.
-pub const FAN_OUT: usize = 4;
+pub const FAN_OUT: usize = 2;
 
 /// The processes that read the configuration service at a time.
 pub const READERS: usize = 6;
@@ -80,6 +80,7 @@
     better.take(count).count() < count
 }
 
-fn rank(node: u32) -> (u64, u32) {
+/// Returns the place of a process in the order on which all agree.
+pub(crate) fn rank(node: u32) -> (u64, u32) {
     (weight(node, 0), node)
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -35,6 +35,7 @@
         Time,
         weight, //
     },
+    member,
     rules::Rules,
     wire::{
         Dispatch,
@@ -59,6 +60,9 @@
 /// The time that an offer is used.
 const OFFER_LIFE: Duration = Duration::from_secs(8);
 
+/// The interval at which sidecars are told of answers that have arrived whole.
+const DONE_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// The unacknowledged bytes at which a sidecar is told what has arrived.
 const ACK_BYTES: u64 = 64 << 10;
 
@@ -167,8 +171,10 @@
     peers: BTreeSet<ids::Router>,
     tables: BTreeMap<Service, Table>,
     exchanged: Time,
+    heard: BTreeSet<ids::Router>,
     timers: BTreeSet<(Time, Sequence)>,
-    acks: Vec<(Target, Message)>,
+    done: BTreeMap<Target, Vec<(Sequence, u32)>>,
+    flushed: Time,
     budget: Budget,
     rng: fastrand::Rng,
     draining: bool,
@@ -192,8 +198,10 @@
             peers: BTreeSet::new(),
             tables: BTreeMap::new(),
             exchanged: Time::ZERO,
+            heard: BTreeSet::new(),
             timers: BTreeSet::new(),
-            acks: Vec::new(),
+            done: BTreeMap::new(),
+            flushed: Time::ZERO,
             budget: Budget::default(),
             draining: false,
             outs: Vec::new(),
@@ -280,7 +288,7 @@
             Input::Tick => self.tick(now),
         }
         if self.draining && self.requests.is_empty() {
-            self.flush_acks();
+            self.flush_done();
             self.outs.push(Output::Drained);
         }
         std::mem::take(&mut self.outs)
@@ -450,16 +458,24 @@
         };
         let message = Message::Dispatch(Rc::new(dispatch));
         self.outs.push(Output::Send(target, message));
+        // The two share a packet.
+        if let Some(done) = self.done.remove(&target) {
+            self.outs.push(Output::Send(target, Message::Done(done)));
+        }
     }
 
     /// Tells sidecars how many requests wait in a queue, as far as they should know.
     fn tell(&mut self, now: Time, owner: Owner) {
         let waiting = self.queues.unbound(owner);
+        let bound = self.queues.bound_targets(owner);
+        let members = self.members.get(&owner.0).map_or(&[][..], Vec::as_slice);
         let probes = self.probes.entry(owner).or_default();
+        if bound.is_empty() && !probes.is_due(now, waiting, members.len()) {
+            return;
+        }
         let reach = probes.reach(now, waiting);
         let mut targets = probes.targets();
-        targets.extend(self.queues.bound_targets(owner));
-        let members = self.members.get(&owner.0).map_or(&[][..], Vec::as_slice);
+        targets.extend(bound);
         let more = reach.min(members.len()).saturating_sub(probes.len());
         if more > 0 {
             let start = self.rng.usize(..members.len());
@@ -824,15 +840,15 @@
                 took,
             }));
             self.remove(sequence);
-            let message = Message::Ack {
-                id: part.id,
-                offset,
-                ended: true,
-            };
-            self.acks.push((target, message));
+            self.note_done(target, part.id);
         }
     }
 
+    fn note_done(&mut self, target: Target, id: RequestId) {
+        let done = self.done.entry(target).or_default();
+        done.push((id.sequence, id.attempt));
+    }
+
     /// Tells a sidecar what the caller has taken once it is much, so that a slow caller
     /// holds back its target and not this router's memory.
     fn taken(&mut self, sequence: Sequence, bytes: u64) {
@@ -851,21 +867,15 @@
                 sequence,
                 attempt,
             };
-            let ended = false;
-            let message = Message::Ack { id, offset, ended };
+            let message = Message::Ack { id, offset };
             self.outs.push(Output::Send(flight.target, message));
         }
     }
 
     /// Answers a part that no caller waits for, so that its sidecar can forget it.
     fn stray(&mut self, target: Target, part: &Part) {
-        if let Some(end) = &part.end {
-            let message = Message::Ack {
-                id: part.id,
-                offset: end.length,
-                ended: true,
-            };
-            self.acks.push((target, message));
+        if part.end.is_some() {
+            self.note_done(target, part.id);
         }
     }
 
@@ -901,9 +911,7 @@
         let link = &self.links[&target];
         let (service, incarnation) = (link.service, link.incarnation);
         let table = self.table_mut(service);
-        let totals = table.report(now, target, incarnation, report);
-        self.outs
-            .push(Output::Send(target, Message::Totals(totals)));
+        table.report(now, target, incarnation, report);
     }
 
     fn peer_up(&mut self, router: ids::Router) {
@@ -921,11 +929,23 @@
     }
 
     fn peer_message(&mut self, now: Time, router: ids::Router, message: Message) {
-        if let Message::Exchange(exchange) = message
-            && self.peers.contains(&router)
-        {
+        let Message::Exchange(exchanges) = message else {
+            return;
+        };
+        if !self.peers.contains(&router) {
+            return;
+        }
+        for exchange in &exchanges {
             let table = self.table_mut(exchange.service);
-            table.merge(now, router, &exchange);
+            table.merge(now, router, exchange);
+        }
+        if self.parent() == Some(router) {
+            return self.exchange_down(now);
+        }
+        self.heard.insert(router);
+        let whole = self.children().all(|child| self.heard.contains(&child));
+        if whole && now >= self.exchanged + EXCHANGE_INTERVAL / 2 {
+            self.exchange_up(now);
         }
     }
 
@@ -941,16 +961,25 @@
         for owner in owners {
             self.tell(now, owner);
         }
-        self.flush_acks();
-        if now >= self.exchanged + EXCHANGE_INTERVAL {
-            self.exchanged = now;
-            self.exchange(now);
+        if now >= self.flushed + DONE_INTERVAL {
+            self.flushed = now;
+            self.flush_done();
+        }
+        let patience = match self.children().next() {
+            None => EXCHANGE_INTERVAL,
+            // The wave from below has failed.
+            Some(_) => EXCHANGE_INTERVAL * 2,
+        };
+        if now >= self.exchanged + patience {
+            self.exchange_up(now);
         }
     }
 
-    fn flush_acks(&mut self) {
-        let acks = self.acks.drain(..);
-        let sends = acks.map(|(target, message)| Output::Send(target, message));
+    fn flush_done(&mut self) {
+        let done = std::mem::take(&mut self.done);
+        let sends = done
+            .into_iter()
+            .map(|(target, done)| Output::Send(target, Message::Done(done)));
         self.outs.extend(sends);
     }
 
@@ -983,19 +1012,54 @@
         }
     }
 
-    fn exchange(&mut self, now: Time) {
+    /// Returns the peer towards the root of the exchange tree.
+    fn parent(&self) -> Option<ids::Router> {
+        let me = member::rank(self.settings.router);
+        let lower = self.peers.iter().filter(|peer| member::rank(**peer) < me);
+        lower.min_by_key(|peer| member::rank(**peer)).copied()
+    }
+
+    fn children(&self) -> impl Iterator<Item = ids::Router> {
+        let parent = self.parent();
+        let peers = self.peers.iter().copied();
+        peers.filter(move |peer| Some(*peer) != parent)
+    }
+
+    /// Sends a wave of figures towards the root, or turns it around there.
+    fn exchange_up(&mut self, now: Time) {
+        self.exchanged = now;
+        self.heard.clear();
         let owners: Vec<_> = self.queues.iter().map(|(owner, _)| owner).collect();
         for owner in owners {
             self.observe(now, owner);
         }
         for table in self.tables.values_mut() {
             table.tick(now);
-            for peer in &self.peers {
-                if let Some(exchange) = table.exchange(now, *peer) {
-                    let message = Message::Exchange(exchange);
-                    self.outs.push(Output::SendPeer(*peer, message));
-                }
+        }
+        match self.parent() {
+            Some(parent) => self.exchange(parent),
+            None => self.exchange_down(now),
+        }
+    }
+
+    /// Sends a wave of figures towards the leaves of the tree and to sidecars.
+    fn exchange_down(&mut self, now: Time) {
+        let children: Vec<_> = self.children().collect();
+        for child in children {
+            self.exchange(child);
+        }
+        for table in self.tables.values_mut() {
+            for (target, totals) in table.all_totals(now) {
+                self.outs
+                    .push(Output::Send(target, Message::Totals(totals)));
             }
         }
     }
+
+    fn exchange(&mut self, peer: ids::Router) {
+        let tables = self.tables.values_mut();
+        let exchanges: Vec<_> = tables.filter_map(|table| table.exchange(peer)).collect();
+        let message = Message::Exchange(exchanges);
+        self.outs.push(Output::SendPeer(peer, message));
+    }
 }
--- a/src/router/probe.rs
+++ b/src/router/probe.rs
@@ -16,12 +16,17 @@
 /// The interval at which more sidecars are told of requests that still wait.
 const WIDEN_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The factor by which a number may be off before a sidecar is told again.
+const ROUGHNESS: u32 = 4;
+
 /// The sidecars that have been told of one queue, with the number that they know.
 #[derive(Debug, Default)]
 pub(super) struct Probes {
     told: BTreeMap<Target, u32>,
     widened: Time,
     reach: usize,
+    waiting: usize,
+    used_up: bool,
 }
 
 impl Probes {
@@ -30,6 +35,7 @@
         if let Some(count) = self.told.get_mut(&target) {
             *count -= 1;
             if *count == 0 {
+                self.used_up = true;
                 self.told.remove(&target);
             }
         }
@@ -37,6 +43,7 @@
 
     /// Notes that a sidecar has gone.
     pub(super) fn forget(&mut self, target: Target) {
+        self.used_up = true;
         self.told.remove(&target);
     }
 
@@ -50,6 +57,21 @@
         self.told.contains_key(&target)
     }
 
+    /// Returns whether sidecars need to be told of `waiting` requests, of `members` that
+    /// could be.
+    pub(super) fn is_due(&mut self, now: Time, waiting: usize, members: usize) -> bool {
+        let roughness = ROUGHNESS as usize;
+        let empty = (waiting == 0) != (self.waiting == 0);
+        let far = waiting >= self.waiting * roughness || waiting * roughness <= self.waiting;
+        let widen = self.told.len() < members && now >= self.widened + WIDEN_INTERVAL;
+        let due = waiting > 0 && (far || widen || self.used_up) || empty;
+        if due {
+            self.waiting = waiting;
+            self.used_up = false;
+        }
+        due
+    }
+
     /// Returns how many sidecars should know of `waiting` requests.
     pub(super) fn reach(&mut self, now: Time, waiting: usize) -> usize {
         if waiting == 0 {
@@ -78,7 +100,7 @@
         let far = match (known, count) {
             (0, 0) => false,
             (0, _) | (_, 0) => true,
-            _ => count >= known * 2 || count * 2 <= known,
+            _ => count >= known * ROUGHNESS || count * ROUGHNESS <= known,
         };
         if far {
             match count {
--- a/src/shell/link.rs
+++ b/src/shell/link.rs
@@ -100,6 +100,7 @@
     queue: UnboundedSender<Message>,
     connection: Connection,
     counters: Rc<Counters>,
+    active: Rc<Cell<bool>>,
 }
 
 /// What has passed over the links of a process.
@@ -113,6 +114,7 @@
 impl Sender {
     /// Queues a message; one for a link that has gone is dropped.
     pub(super) fn send(&self, message: Message) {
+        self.active.set(true);
         let _ = self.queue.unbounded_send(message);
     }
 
@@ -183,6 +185,7 @@
         queue,
         connection,
         counters: context.counters.clone(),
+        active: Rc::default(),
     };
     sender.send(Message::Hello((context.hello)()));
     spawn(write(send, messages, sender.counters.clone())).detach();
@@ -257,8 +260,12 @@
 /// Sends heartbeats and closes a link that has gone silent.
 async fn watch(sender: Sender, context: Context, heard: Rc<Cell<Time>>, done: Rc<Cell<bool>>) {
     while !done.get() {
-        let version: Version = (context.hello)().version;
-        sender.send(Message::Heartbeat(version));
+        // Any other message shows as well that this side lives.
+        if !sender.active.replace(false) {
+            let version: Version = (context.hello)().version;
+            sender.send(Message::Heartbeat(version));
+            sender.active.set(false);
+        }
         sleep(HEARTBEAT_INTERVAL).await;
         if context.clock.now() > heard.get() + SILENCE_LIMIT {
             sender.close();
--- a/src/sidecar/answer.rs
+++ b/src/sidecar/answer.rs
@@ -111,7 +111,7 @@
     }
 
     /// Drops what the router has received.
-    pub fn ack(&mut self, offset: u64, ended: bool) {
+    pub fn ack(&mut self, offset: u64) {
         while let Some(chunk) = self.chunks.front() {
             if self.base + chunk.len() as u64 > offset {
                 break;
@@ -119,7 +119,13 @@
             self.base += chunk.len() as u64;
             self.chunks.pop_front();
         }
-        self.acked |= ended && self.end.is_some();
+    }
+
+    /// Drops all, since the router has the whole answer.
+    pub fn finish(&mut self) {
+        self.base = self.length;
+        self.chunks.clear();
+        self.acked = true;
     }
 
     /// Returns whether reading from the target should pause.
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -30,6 +30,7 @@
         Account,
         Incarnation,
         Router,
+        Sequence,
         Service,
         Target,
         Time,
@@ -69,6 +70,9 @@
 /// The absence from the backlog after which an account counts as returning.
 const RETURN_TIME: Duration = Duration::from_secs(1);
 
+/// The interval at which the home router is asked for an account's standing again.
+const INTEREST_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The interval at which a standing offer is stamped anew.
 const OFFER_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -189,6 +193,7 @@
     links: BTreeMap<Router, Link>,
     recent: BTreeMap<Account, Time>,
     reaches: BTreeMap<Account, u32>,
+    asked: BTreeMap<Account, Time>,
     gone: BTreeMap<Incarnation, Time>,
     view: View,
     grants: BTreeMap<u64, Grant>,
@@ -220,6 +225,7 @@
             links: BTreeMap::new(),
             recent: BTreeMap::new(),
             reaches: BTreeMap::new(),
+            asked: BTreeMap::new(),
             gone: BTreeMap::new(),
             view: View::default(),
             grants: BTreeMap::new(),
@@ -373,6 +379,7 @@
         if home != self.home {
             self.home = home;
             self.view.rehome();
+            self.asked.clear();
             self.reported = Time::ZERO;
         }
     }
@@ -392,7 +399,8 @@
                 self.settle(now, grant);
             }
             Message::Dispatch(dispatch) => self.dispatch(now, router, dispatch),
-            Message::Ack { id, offset, ended } => self.ack(id, offset, ended),
+            Message::Ack { id, offset } => self.ack(id, offset),
+            Message::Done(done) => self.done(router, &done),
             Message::Query { id, stamp, offset } => self.query(now, router, id, stamp, offset),
             Message::Cancel { id } => self.cancel(now, router, id),
             Message::Totals(totals) if Some(router) == self.home => self.view.totals(&totals),
@@ -530,11 +538,29 @@
         }
     }
 
-    fn ack(&mut self, id: RequestId, offset: u64, ended: bool) {
+    /// Drops the answers that a router has whole.
+    fn done(&mut self, router: Router, done: &[(Sequence, u32)]) {
+        let Some(link) = self.links.get(&router) else {
+            return;
+        };
+        let router = link.incarnation;
+        for (sequence, attempt) in done {
+            let id = RequestId {
+                router,
+                sequence: *sequence,
+                attempt: *attempt,
+            };
+            if let Some(record) = self.records.get_mut(id) {
+                record.answer.finish();
+            }
+        }
+    }
+
+    fn ack(&mut self, id: RequestId, offset: u64) {
         let Some(record) = self.records.get_mut(id) else {
             return;
         };
-        record.answer.ack(offset, ended);
+        record.answer.ack(offset);
         if !record.answer.is_full() && self.paused.remove(&id) {
             self.outs.push(Output::Resume(id));
         }
@@ -785,7 +811,12 @@
         };
         self.reported = now;
         self.view.decay();
-        let report = self.view.report(backlogged);
+        self.asked
+            .retain(|_, asked| now < *asked + INTEREST_INTERVAL);
+        let asked = &mut self.asked;
+        let fresh = |account: &Account| asked.insert(*account, now).is_none();
+        let wanted = backlogged.into_iter().filter(fresh).collect();
+        let report = self.view.report(wanted);
         self.outs.push(Output::Send(home, Message::Report(report)));
     }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -205,10 +205,17 @@
         pub account: Account,
         /// The router.
         pub router: Router,
-        /// The requests that wait there.
-        pub waiting: u32,
-        /// The age of the observation, in milliseconds.
-        pub age: u32,
+    }
+
+    /// An account's service and backlog on one side of a link between routers.
+    #[derive(Copy)]
+    pub struct Entry {
+        /// The account.
+        pub account: Account,
+        /// Service counted on that side since the link began.
+        pub usage: Usage,
+        /// The requests that wait on that side, as the logarithm of their number.
+        pub waiting: u8,
     }
 
     /// An account's standing in the fleet.
@@ -257,9 +264,9 @@
         pub level: Usage,
         /// Absolute service, on a link's first messages.
         pub base: Vec<Tally>,
-        /// Service counted on the sender's side since the link began.
-        pub tallies: Vec<Tally>,
-        /// Accounts that wait on the sender's side.
+        /// Accounts with service or backlog on the sender's side.
+        pub entries: Vec<Entry>,
+        /// Where the accounts with the least service wait, on the sender's side.
         pub hints: Vec<Hint>,
     }
 
@@ -314,15 +321,15 @@
             /// Why.
             reason: Reason,
         },
-        /// Body bytes that a router has received of an attempt.
+        /// Body bytes that a caller has taken of an attempt.
         Ack {
             /// The attempt.
             id: RequestId,
-            /// The bytes received.
+            /// The bytes.
             offset: u64,
-            /// Whether the end mark was received.
-            ended: bool,
         },
+        /// Attempts of the sender whose answers have arrived with their ends.
+        Done(Vec<(Sequence, u32)>),
         /// Asks for what is missing of an attempt.
         Query {
             /// The attempt.
@@ -341,8 +348,8 @@
         Report(Report),
         /// The fleet's standings.
         Totals(Totals),
-        /// Service and backlog between routers.
-        Exchange(Exchange),
+        /// Service and backlog between routers, by service.
+        Exchange(Vec<Exchange>),
     }
 }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,6 +14,7 @@
     Bid,
     Dispatch,
     End,
+    Entry,
     Exchange,
     Head,
     Hello,
--- a/tests/drive/fleet.rs
+++ b/tests/drive/fleet.rs
@@ -132,7 +132,7 @@
     pub sidecars: Vec<Option<Sidecar>>,
     pub stores: BTreeMap<Node, Store>,
     pub control: BTreeMap<Node, Traffic>,
-    pub kinds: BTreeMap<String, Traffic>,
+    pub kinds: BTreeMap<String, (u64, u64)>,
     pub spent: BTreeMap<Node, Duration>,
     pub log: Vec<String>,
     pub logging: bool,
@@ -448,21 +448,22 @@
             Some(link) if !link.mute => link.serial,
             _ => return,
         };
-        if !matches!(message, Message::Dispatch(_) | Message::Part(_)) {
-            let mut bytes = encode(&message).len() as u64;
-            // Messages of one moment share a packet.
-            if self.packets.insert((from, to), self.now) != Some(self.now) {
-                bytes += PACKET;
-            }
-            let kind = format!("{message:?}");
-            let kind = kind
-                .split(|c: char| !c.is_alphanumeric())
-                .next()
-                .unwrap_or("")
-                .to_owned();
-            let entry = self.kinds.entry(kind).or_default();
-            entry.bytes += bytes;
-            entry.messages += 1;
+        let data = matches!(message, Message::Dispatch(_) | Message::Part(_));
+        // Messages of one moment share a packet.
+        let alone = self.packets.insert((from, to), self.now) != Some(self.now);
+        if !data {
+            let bytes = encode(&message).len() as u64 + if alone { PACKET } else { 0 };
+            if std::env::var("DBG").is_ok() {
+                let kind = format!("{message:?}");
+                let kind = kind
+                    .split(|c: char| !c.is_alphanumeric())
+                    .next()
+                    .unwrap_or("")
+                    .to_owned();
+                let e = self.kinds.entry(kind).or_default();
+                e.0 += bytes;
+                e.1 += 1;
+            }
             for node in [from, to] {
                 let traffic = self.control.entry(node).or_default();
                 traffic.bytes += bytes;
@@ -971,8 +972,12 @@
                 continue;
             }
             for (from, to) in [(a, b), (b, a)] {
-                let version = self.stores[&from].version();
-                self.send(from, to, Message::Heartbeat(version));
+                // Any other message shows as well that a side lives.
+                let last = self.packets.get(&(from, to)).copied();
+                if last.is_none_or(|last| self.now >= last + HEARTBEAT) {
+                    let version = self.stores[&from].version();
+                    self.send(from, to, Message::Heartbeat(version));
+                }
             }
         }
         self.at(self.now + HEARTBEAT, Event::Heartbeat);
--- a/tests/drive/mod.rs
+++ b/tests/drive/mod.rs
@@ -13,7 +13,4 @@
     Load,
     Plan, //
 };
-pub use truth::{
-    Outcome,
-    Truth, //
-};
+pub use truth::Truth;
