Start waves together and level returning accounts with the median

Cause: routers sent figures by timers of their own, so each level of the tree added up to a second (tables 3.5 s behind at 24 routers); a queue that had emptied stayed in its router's table as waiting for 15 s, which drew every sidecar to that router; accounts that returned were levelled with the one furthest behind and then preferred to those that had stayed. Change: the answer of the root starts the next wave, and a sidecar reports just before it; a wave begins with the queues as they are; returning accounts start at the lower median; work that need not be done each tick is done each 100 ms.

--- a/src/fair/mod.rs
+++ b/src/fair/mod.rs
@@ -15,6 +15,7 @@
 };
 pub use view::{
     REPORT_INTERVAL,
+    REPORT_RETRY,
     View, //
 };
 
@@ -25,6 +26,16 @@
 /// The largest lead that one backlogged account may have over another, in usage.
 pub const MAX_LEAD: Usage = 120_000_000;
 
+/// Returns the lower median, the level at which a returning account starts.
+///
+/// The least would not do: one account that is far behind would hold down all that
+/// return, and they would then be preferred to those that never left.
+fn median(usages: impl Iterator<Item = Usage>) -> Option<Usage> {
+    let mut usages: Vec<_> = usages.collect();
+    let middle = usages.len().checked_sub(1)? / 2;
+    Some(*usages.select_nth_unstable(middle).1)
+}
+
 /// Converts slot time into usage.
 ///
 /// ```
--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -128,6 +128,11 @@
         self.note(account, backlog);
     }
 
+    /// Drops what was noted of this router's own queues.
+    pub fn forget_own(&mut self) {
+        self.forget_backlogs(None);
+    }
+
     /// Takes in a sidecar's report.
     ///
     /// ```
@@ -381,7 +386,7 @@
     fn note(&mut self, account: Account, backlog: Backlog) {
         if !self.backlogs.contains_key(&account) && backlog.waiting > 0 {
             let usages = self.backlogged().map(|other| self.usage(other));
-            let floor = usages.min().unwrap_or(self.level);
+            let floor = super::median(usages).unwrap_or(self.level);
             self.raise(account, floor);
         }
         let seen = self.backlogs.entry(account).or_default();
--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -19,8 +19,12 @@
     },
 };
 
-/// The interval between two reports of a sidecar.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The time from the last figures to a sidecar's next report, a little less than the
+/// interval of exchanges, so that the report is in the next one.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+
+/// The time after which a report without an answer is sent again.
+pub const REPORT_RETRY: Duration = Duration::from_millis(1_500);
 
 /// The part of what was foreseen that is forgotten at each report.
 const FORESIGHT_DECAY: Usage = 16;
@@ -113,11 +117,15 @@
     /// assert_eq!(view.usage(2), 500);
     /// ```
     pub fn enter(&mut self, account: Account, backlogged: impl Iterator<Item = Account>) {
-        let least = backlogged
-            .filter(|other| *other != account)
-            .map(|other| self.settled(other))
-            .min();
-        self.raise(account, least.unwrap_or(self.level));
+        let others = backlogged.filter(|other| *other != account);
+        let usages = others.map(|other| self.settled(other));
+        let known = self.told.contains_key(&account);
+        let floor = match known {
+            // The home router decides whether the account has been idle everywhere.
+            true => usages.min(),
+            false => super::median(usages),
+        };
+        self.raise(account, floor.unwrap_or(self.level));
     }
 
     /// Bounds the lead of any account of `backlogged` over another.
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -940,6 +940,8 @@
             table.merge(now, router, exchange);
         }
         if self.parent() == Some(router) {
+            // The leaves of the tree start the next wave together.
+            self.exchanged = now;
             return self.exchange_down(now);
         }
         self.heard.insert(router);
@@ -1029,6 +1031,9 @@
     fn exchange_up(&mut self, now: Time) {
         self.exchanged = now;
         self.heard.clear();
+        for table in self.tables.values_mut() {
+            table.forget_own();
+        }
         let owners: Vec<_> = self.queues.iter().map(|(owner, _)| owner).collect();
         for owner in owners {
             self.observe(now, owner);
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -24,6 +24,7 @@
     fair::{
         self,
         REPORT_INTERVAL,
+        REPORT_RETRY,
         View, //
     },
     ids::{
@@ -58,11 +59,14 @@
 /// The time that the attempts of a router that has gone are kept running.
 const ORPHAN_LIFE: Duration = Duration::from_secs(10);
 
+/// The interval of the work that is not done at every tick.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The interval between two searches for a router that has backlog.
 const SEEK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The lead over an account waiting elsewhere that makes a sidecar look for it.
-const SEEK_LEAD: Usage = 2_000_000;
+const SEEK_LEAD: Usage = 20_000_000;
 
 /// The share of a request's cost below which a round trip is not worth hiding.
 const AHEAD_RATIO: u32 = 400;
@@ -208,7 +212,8 @@
     round_trip: Duration,
     serial: u64,
     draining: bool,
-    reported: Time,
+    swept: Time,
+    due: Time,
     sought: Time,
     home: Option<Router>,
     outs: Vec<Output>,
@@ -238,7 +243,8 @@
             round_trip: FIRST_ROUND_TRIP,
             serial: 0,
             draining: false,
-            reported: Time::ZERO,
+            swept: Time::ZERO,
+            due: Time::ZERO,
             sought: Time::ZERO,
             home: None,
             outs: Vec::new(),
@@ -380,7 +386,7 @@
             self.home = home;
             self.view.rehome();
             self.asked.clear();
-            self.reported = Time::ZERO;
+            self.due = Time::ZERO;
         }
     }
 
@@ -403,7 +409,10 @@
             Message::Done(done) => self.done(router, &done),
             Message::Query { id, stamp, offset } => self.query(now, router, id, stamp, offset),
             Message::Cancel { id } => self.cancel(now, router, id),
-            Message::Totals(totals) if Some(router) == self.home => self.view.totals(&totals),
+            Message::Totals(totals) if Some(router) == self.home => {
+                self.due = now + REPORT_INTERVAL;
+                self.view.totals(&totals);
+            }
             _ => {}
         }
     }
@@ -721,6 +730,14 @@
     fn tick(&mut self, now: Time) {
         self.charge_runs(now);
         self.expire_grants(now);
+        if now >= self.swept + SWEEP_INTERVAL {
+            self.swept = now;
+            self.sweep(now);
+        }
+    }
+
+    /// Does what need not be done at every tick.
+    fn sweep(&mut self, now: Time) {
         self.records.expire(now);
         self.keys.expire(now);
         self.reap(now);
@@ -733,7 +750,7 @@
         self.reaches
             .retain(|account, _| recent.contains_key(account));
         self.view.bound(backlogged.iter().copied());
-        if now >= self.reported + REPORT_INTERVAL || self.reported == Time::ZERO {
+        if now >= self.due {
             self.report(now, backlogged);
         }
         self.seek(now);
@@ -809,7 +826,7 @@
         let Some(home) = self.home else {
             return;
         };
-        self.reported = now;
+        self.due = now + REPORT_RETRY;
         self.view.decay();
         self.asked
             .retain(|_, asked| now < *asked + INTEREST_INTERVAL);
--- a/tests/drive/truth.rs
+++ b/tests/drive/truth.rs
@@ -63,6 +63,7 @@
     pairs: BTreeMap<(usize, usize), (f64, f64)>,
     pub gap: f64,
     pub gap_pair: (usize, usize),
+    pub gap_time: Time,
     busy: Duration,
     offered: Duration,
     running: u32,
@@ -183,6 +184,7 @@
                 if *high - *low > self.gap {
                     self.gap = *high - *low;
                     self.gap_pair = (a, b);
+                    self.gap_time = now;
                 }
             }
         }
