Ask again for the missing part of an answer

Cause: when parts of an answer crossed, a later part was dropped for the gap and nothing asked for it again; the caller waited for ever, since an answer that has begun has no deadline. Found by the schedule of one silent link with jitter, which left calls without an outcome; a lost link was ruled out by its trace. Change: a gap or an end at another length makes the router ask the sidecar from the offset that it has. The drive also sent arrivals of a dead router nowhere.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -631,17 +631,27 @@
                 continue;
             }
             flight.lost = None;
-            let stamp = flight.stamp;
-            let offset = request.received;
-            let request = &self.requests[&sequence];
-            let id = self.id_of(sequence, request);
-            self.outs
-                .push(Output::Log(Event::Resume { id, target, offset }));
-            let message = Message::Query { id, stamp, offset };
-            self.outs.push(Output::Send(target, message));
+            self.query(sequence);
         }
     }
 
+    /// Asks a sidecar for what is missing of an answer.
+    fn query(&mut self, sequence: Sequence) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        let Stage::Flying(flight) = &request.stage else {
+            return;
+        };
+        let id = self.id_of(sequence, request);
+        let (target, stamp) = (flight.target, flight.stamp);
+        let offset = request.received;
+        self.outs
+            .push(Output::Log(Event::Resume { id, target, offset }));
+        let message = Message::Query { id, stamp, offset };
+        self.outs.push(Output::Send(target, message));
+    }
+
     fn down(&mut self, now: Time, target: Target) {
         let Some(link) = self.links.remove(&target) else {
             return;
@@ -831,6 +841,7 @@
             self.outs.push(Output::Reply(sequence, Reply::Data(data)));
         }
         let offset = request.received;
+        let ended = part.end.is_some();
         if let Some(end) = part.end.filter(|end| !gap && end.length == offset) {
             let took = now.saturating_sub(request.arrived).as_micros();
             self.outs.push(Output::Reply(sequence, Reply::End(end)));
@@ -841,6 +852,8 @@
             }));
             self.remove(sequence);
             self.note_done(target, part.id);
+        } else if gap || ended {
+            self.query(sequence);
         }
     }
 
--- a/tests/drive/fleet.rs
+++ b/tests/drive/fleet.rs
@@ -108,6 +108,7 @@
     },
     Open(Node, Node),
     Lost(Node, Node, u64),
+    Down(Node, Node, u64),
     Maintain,
     Heartbeat,
     Sample,
@@ -147,6 +148,8 @@
     lives: BTreeMap<Node, u64>,
     starts: BTreeMap<Node, Time>,
     links: BTreeMap<(Node, Node), Link>,
+    /// The link that each process takes to be open; a paused one learns late of its end.
+    believed: BTreeMap<(Node, Node), u64>,
     opening: BTreeSet<(Node, Node)>,
     visits: BTreeMap<(Node, Node), Time>,
     calls: BTreeMap<(usize, u64, Sequence), usize>,
@@ -179,6 +182,7 @@
             lives: BTreeMap::new(),
             starts: BTreeMap::new(),
             links: BTreeMap::new(),
+            believed: BTreeMap::new(),
             opening: BTreeSet::new(),
             visits: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -275,6 +279,7 @@
             // A new process dials at once; its links replace those of the old one.
             self.links.retain(|(a, b), _| *a != node && *b != node);
         }
+        self.believed.retain(|(me, _), _| *me != node);
         let phase = Duration::from_micros(self.rng.u64(..10_000));
         self.at(self.now + phase, Event::Tick(node, life));
     }
@@ -384,6 +389,7 @@
             Event::Tick(node, _) => *node,
             Event::Finish { sidecar, .. } => Node::Sidecar(*sidecar),
             Event::Arrive { router, .. } => Node::Router(*router),
+            Event::Down(me, ..) => *me,
             _ => return None,
         };
         self.paused
@@ -418,6 +424,7 @@
             } => self.arrive(router, account, again),
             Event::Open(a, b) => self.open(a, b),
             Event::Lost(a, b, serial) => self.lose(a, b, serial),
+            Event::Down(me, peer, serial) => self.down(me, peer, serial),
             Event::Maintain => self.maintain(),
             Event::Heartbeat => self.heartbeat(),
             Event::Sample => {
@@ -477,11 +484,8 @@
     }
 
     fn deliver(&mut self, from: Node, to: Node, link: u64, message: Message) {
-        let current = self
-            .links
-            .get(&Self::ends(from, to))
-            .map(|link| link.serial);
-        if current != Some(link) || self.is_cut(from, to) || !self.is_live(to) {
+        let believed = self.believed.get(&(to, from)).copied();
+        if believed != Some(link) || self.is_cut(from, to) || !self.is_live(to) {
             return;
         }
         let Some(message) = self.govern(from, to, message) else {
@@ -651,6 +655,20 @@
     }
 
     fn arrive(&mut self, router: usize, account: usize, again: bool) {
+        // The platform's balancer sends callers to a router that lives.
+        let live = (0..self.plan.routers).filter(|i| self.routers[*i].is_some());
+        let live: Vec<_> = live.collect();
+        if live.is_empty() {
+            let at = self.now + TICK;
+            return self.at(
+                at,
+                Event::Arrive {
+                    router,
+                    account,
+                    again,
+                },
+            );
+        }
         if !again {
             self.next_arrival(router, account);
         }
@@ -669,24 +687,10 @@
             }
             return;
         }
-        if self.routers[router].is_none() {
-            // The platform's balancer sends callers to a router that lives.
-            let live = (0..self.plan.routers).filter(|i| self.routers[*i].is_some());
-            let live: Vec<_> = live.collect();
-            let to = live.get(account % live.len().max(1)).copied();
-            let (at, router) = match to {
-                Some(router) => (self.now, router),
-                None => (self.now + TICK, router),
-            };
-            return self.at(
-                at,
-                Event::Arrive {
-                    router,
-                    account,
-                    again,
-                },
-            );
-        }
+        let router = match self.routers[router] {
+            Some(_) => router,
+            None => live[account % live.len()],
+        };
         let write = load.write;
         self.ask(router, account, write, None, again);
     }
@@ -871,6 +875,7 @@
         };
         self.links.insert((a, b), link);
         for (me, peer) in [(a, b), (b, a)] {
+            self.believed.insert((me, peer), serial);
             self.up(me, peer);
             let version = self.stores[&me].version();
             self.send(me, peer, Message::Heartbeat(version));
@@ -916,17 +921,30 @@
         }
         self.links.remove(&(a, b));
         for (me, peer) in [(a, b), (b, a)] {
-            let peer_id = id(&name_of(peer));
-            match (me, peer) {
-                (Node::Router(i), Node::Sidecar(_)) => {
-                    self.router_step(i, router::Input::Down { target: peer_id });
-                }
-                (Node::Router(i), Node::Router(_)) => {
-                    self.router_step(i, router::Input::PeerDown { router: peer_id });
-                }
-                (Node::Sidecar(i), _) => {
-                    self.sidecar_step(i, sidecar::Input::Down { router: peer_id });
-                }
+            let until = self.paused.get(&me).copied().unwrap_or_default();
+            match until > self.now {
+                true => self.at(until, Event::Down(me, peer, serial)),
+                false => self.down(me, peer, serial),
+            }
+        }
+    }
+
+    /// Tells one end that its link has gone, unless it has a newer one.
+    fn down(&mut self, me: Node, peer: Node, serial: u64) {
+        if self.believed.get(&(me, peer)) != Some(&serial) {
+            return;
+        }
+        self.believed.remove(&(me, peer));
+        let peer_id = id(&name_of(peer));
+        match (me, peer) {
+            (Node::Router(i), Node::Sidecar(_)) => {
+                self.router_step(i, router::Input::Down { target: peer_id });
+            }
+            (Node::Router(i), Node::Router(_)) => {
+                self.router_step(i, router::Input::PeerDown { router: peer_id });
+            }
+            (Node::Sidecar(i), _) => {
+                self.sidecar_step(i, sidecar::Input::Down { router: peer_id });
             }
         }
     }
@@ -941,6 +959,8 @@
             link.lost = true;
             link.mute = true;
             let serial = self.serial;
+            self.believed.insert((a, b), serial);
+            self.believed.insert((b, a), serial);
             self.at(self.now + SILENCE, Event::Lost(ends.0, ends.1, serial));
         }
     }
