--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -436,8 +436,8 @@
         let share = self.rules.share_entry(ask.service, ask.account);
         self.outs.push(Output::Log(Event::Route {
             id,
-            account: ask.account,
-            target,
+            account: self.rules.name(ask.account),
+            target: self.rules.name(target),
             why: if grant > 0 { "grant" } else { "offer" },
             waited: now.saturating_sub(request.arrived).as_micros(),
             share: share.map_or(0, |entry| entry.line),
@@ -568,7 +568,7 @@
         };
         self.outs.push(Output::Log(Event::Refuse {
             id: self.id_of(sequence, &request),
-            account: request.ask.account,
+            account: self.rules.name(request.ask.account),
             cause,
             ran,
         }));
@@ -646,8 +646,11 @@
         let id = self.id_of(sequence, request);
         let (target, stamp) = (flight.target, flight.stamp);
         let offset = request.received;
-        self.outs
-            .push(Output::Log(Event::Resume { id, target, offset }));
+        self.outs.push(Output::Log(Event::Resume {
+            id,
+            target: self.rules.name(target),
+            offset,
+        }));
         let message = Message::Query { id, stamp, offset };
         self.outs.push(Output::Send(target, message));
     }
@@ -707,7 +710,7 @@
         let request = &self.requests[&sequence];
         self.outs.push(Output::Log(Event::Retry {
             id: self.id_of(sequence, request),
-            target: flight.target,
+            target: self.rules.name(flight.target),
         }));
         self.delay(sequence, Time::ZERO);
     }
@@ -896,8 +899,11 @@
         let Some(sequence) = self.current(target, id) else {
             return;
         };
-        self.outs
-            .push(Output::Log(Event::Return { id, target, reason }));
+        self.outs.push(Output::Log(Event::Return {
+            id,
+            target: self.rules.name(target),
+            reason,
+        }));
         match reason {
             Reason::Busy | Reason::Leaving | Reason::Stale | Reason::Expired => {
                 if let Some(link) = self.links.get_mut(&target) {
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -1,20 +1,16 @@
 //! The log lines of a router.
 
+use std::rc::Rc;
+
 use derive_more::Display;
 
 use super::{
     Cause,
     Ran, //
 };
-use crate::{
-    ids::{
-        Account,
-        Target, //
-    },
-    wire::{
-        Reason,
-        RequestId, //
-    },
+use crate::wire::{
+    Reason,
+    RequestId, //
 };
 
 /// What a router decided, as one line of key=value pairs.
@@ -22,16 +18,16 @@
 pub enum Event {
     /// A request was handed to a target.
     #[display(
-        "event=route request={id} account={account:08x} target={target:08x} why={why} \
+        "event=route request={id} account={account} target={target} why={why} \
          waited_us={waited} share_line={share} write_line={write}"
     )]
     Route {
         /// The attempt.
         id: RequestId,
         /// The account.
-        account: Account,
+        account: Rc<str>,
         /// The target.
-        target: Target,
+        target: Rc<str>,
         /// `grant` or `offer`.
         why: &'static str,
         /// The time since its arrival in microseconds.
@@ -42,40 +38,40 @@
         write: usize,
     },
     /// A sidecar sent an attempt back.
-    #[display("event=return request={id} target={target:08x} reason={reason}")]
+    #[display("event=return request={id} target={target} reason={reason}")]
     Return {
         /// The attempt.
         id: RequestId,
         /// The target.
-        target: Target,
+        target: Rc<str>,
         /// Why.
         reason: Reason,
     },
     /// An idempotent request whose outcome is unknown is tried again.
-    #[display("event=retry request={id} target={target:08x}")]
+    #[display("event=retry request={id} target={target}")]
     Retry {
         /// The attempt that was lost.
         id: RequestId,
         /// The target that had it.
-        target: Target,
+        target: Rc<str>,
     },
     /// An attempt was asked about on a new link.
-    #[display("event=resume request={id} target={target:08x} offset={offset}")]
+    #[display("event=resume request={id} target={target} offset={offset}")]
     Resume {
         /// The attempt.
         id: RequestId,
         /// The target.
-        target: Target,
+        target: Rc<str>,
         /// The body bytes that the caller has.
         offset: u64,
     },
     /// A request was refused.
-    #[display("event=refuse request={id} account={account:08x} cause={cause} ran={ran}")]
+    #[display("event=refuse request={id} account={account} cause={cause} ran={ran}")]
     Refuse {
         /// The last attempt.
         id: RequestId,
         /// The account.
-        account: Account,
+        account: Rc<str>,
         /// Why.
         cause: Cause,
         /// Whether it ran.
--- a/src/rules/model.rs
+++ b/src/rules/model.rs
@@ -1,6 +1,9 @@
 //! The parsed rules file and the look-ups that processes make in it.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    rc::Rc, //
+};
 
 use crate::ids::{
     Account,
@@ -70,6 +73,22 @@
     }
 }
 
+impl Rule {
+    /// Returns the services, accounts and targets that the rule names.
+    pub(super) fn names(&self) -> impl Iterator<Item = &str> {
+        let (first, second) = match self {
+            Rule::Generation(_) => (None, None),
+            Rule::Share {
+                service, account, ..
+            } => (Some(service), Some(account)),
+            Rule::Write { service, .. } => (Some(service), None),
+            Rule::Target { service, target } => (Some(service), Some(target)),
+            Rule::Leaving { target } => (Some(target), None),
+        };
+        first.into_iter().chain(second).map(String::as_str)
+    }
+}
+
 /// A valid rules file.
 #[derive(Clone, Debug, Default)]
 pub struct Rules {
@@ -80,6 +99,7 @@
     accounts: HashMap<Account, usize>,
     targets: HashMap<Target, usize>,
     leaving: HashMap<Target, usize>,
+    names: HashMap<u32, Rc<str>>,
 }
 
 impl PartialEq for Rules {
@@ -95,6 +115,9 @@
             ..Self::default()
         };
         for (i, entry) in entries.iter().enumerate() {
+            for name in entry.rule.names() {
+                rules.names.insert(id(name), name.into());
+            }
             match &entry.rule {
                 Rule::Generation(number) => rules.generation = *number,
                 Rule::Share {
@@ -133,6 +156,22 @@
         self.digest
     }
 
+    /// Returns the name behind an identifier, or the identifier in digits.
+    ///
+    /// ```
+    /// use redwingyard::{ids::id, rules};
+    /// let rules = rules::from_str("generation 1 # kim\nshare * a 3 # kim\n")?;
+    /// assert_eq!(&*rules.name(id("a")), "a");
+    /// assert_eq!(&*rules.name(5), "00000005");
+    /// # Ok::<(), rules::Errors>(())
+    /// ```
+    pub fn name(&self, id: u32) -> Rc<str> {
+        match self.names.get(&id) {
+            Some(name) => name.clone(),
+            None => format!("{id:08x}").into(),
+        }
+    }
+
     /// Returns whether any line names the account.
     pub fn has_account(&self, account: Account) -> bool {
         self.accounts.contains_key(&account)
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -228,7 +228,7 @@
             let detail = format!("this contradicts or repeats line {first}");
             errs.push(data(entry.line, 1, detail));
         }
-        for name in named(&entry.rule) {
+        for name in entry.rule.names() {
             let other = names.entry(id(name)).or_insert(name);
             if *other != name {
                 let detail = format!("the identifiers of {name:?} and {other:?} collide");
@@ -260,19 +260,6 @@
     }
 }
 
-fn named(rule: &Rule) -> impl Iterator<Item = &str> {
-    let (first, second) = match rule {
-        Rule::Generation(_) => (None, None),
-        Rule::Share {
-            service, account, ..
-        } => (Some(service), Some(account)),
-        Rule::Write { service, .. } => (Some(service), None),
-        Rule::Target { service, target } => (Some(service), Some(target)),
-        Rule::Leaving { target } => (Some(target), None),
-    };
-    first.into_iter().chain(second).map(String::as_str)
-}
-
 #[cold]
 fn syntax(line: usize, column: usize, detail: String) -> Error {
     Error {
--- a/src/shell/admin.rs
+++ b/src/shell/admin.rs
@@ -152,7 +152,6 @@
     let core = process.core.borrow();
     let rules = process.rules();
     let version = process.store.borrow().version();
-    let names = Names::new(&rules);
     let since = process.clock.now().saturating_sub(process.since.borrow().0);
     let behind = process
         .versions
@@ -162,16 +161,16 @@
         .map(|(peer, _)| format!("{peer:?}"))
         .collect();
     let backlog = core.backlog().map(|((service, account), waiting)| Backlog {
-        service: names.get(service),
-        account: names.get(account),
+        service: rules.name(service).to_string(),
+        account: rules.name(account).to_string(),
         waiting,
         usage_us: core.table(service).map_or(0, |table| table.usage(account)),
     });
     let targets = core
         .targets()
         .map(|(target, service, offered)| TargetStatus {
-            target: names.get(target),
-            service: names.get(service),
+            target: rules.name(target).to_string(),
+            service: rules.name(service).to_string(),
             offered,
             leaving: rules.leaving_entry(target).is_some(),
         });
@@ -220,7 +219,7 @@
 
 fn router_gauges(process: &router::Process) -> Vec<Gauge> {
     let core = process.core.borrow();
-    let names = Names::new(&process.rules());
+    let rules = process.rules();
     let generation = process.store.borrow().version().generation as i64;
     let counters = &process.counters;
     let mut gauges = vec![
@@ -251,8 +250,8 @@
     ];
     for ((service, account), waiting) in core.backlog() {
         let labels = vec![
-            ("service", names.get(service)),
-            ("account", names.get(account)),
+            ("service", rules.name(service).to_string()),
+            ("account", rules.name(account).to_string()),
         ];
         gauges.push((
             "redwingyard_backlog",
@@ -264,8 +263,8 @@
     for (service, table) in core.tables() {
         for (account, usage) in table.usages() {
             let labels = vec![
-                ("service", names.get(service)),
-                ("account", names.get(account)),
+                ("service", rules.name(service).to_string()),
+                ("account", rules.name(account).to_string()),
             ];
             let help = "Service received over share, in microseconds of a slot.";
             gauges.push(("redwingyard_usage_us", help, labels, usage as i64));
@@ -336,37 +335,3 @@
     let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
     (StatusCode::OK, text)
 }
-
-/// The names behind identifiers, from the rules in force.
-struct Names(std::collections::HashMap<u32, String>);
-
-impl Names {
-    fn new(rules: &crate::rules::Rules) -> Self {
-        use crate::rules::Rule;
-        let mut names = std::collections::HashMap::new();
-        let mut add = |name: &String| names.insert(crate::ids::id(name), name.clone());
-        for entry in rules.entries() {
-            match &entry.rule {
-                Rule::Share {
-                    service, account, ..
-                } => {
-                    add(service);
-                    add(account);
-                }
-                Rule::Target { service, target } => {
-                    add(service);
-                    add(target);
-                }
-                _ => {}
-            }
-        }
-        Self(names)
-    }
-
-    fn get(&self, id: u32) -> String {
-        self.0
-            .get(&id)
-            .cloned()
-            .unwrap_or_else(|| format!("{id:08x}"))
-    }
-}
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -468,7 +468,7 @@
         }
         self.outs.push(Output::Log(Event::Admit {
             id,
-            account: dispatch.account,
+            account: self.rules.name(dispatch.account),
             via: if granted { "grant" } else { "offer" },
         }));
         self.view.serve(dispatch.account);
@@ -1035,7 +1035,7 @@
         let usage = self.view.usage(account);
         self.outs.push(Output::Log(Event::Grant {
             grant,
-            account,
+            account: self.rules.name(account),
             router,
             usage,
         }));
--- a/src/sidecar/event.rs
+++ b/src/sidecar/event.rs
@@ -1,10 +1,11 @@
 //! The log lines of a sidecar.
 
+use std::rc::Rc;
+
 use derive_more::Display;
 
 use crate::{
     ids::{
-        Account,
         Incarnation,
         Router,
         Usage, //
@@ -19,24 +20,24 @@
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum Event {
     /// A slot was granted to the account with the least service.
-    #[display("event=grant grant={grant} account={account:08x} router={router:08x} usage={usage}")]
+    #[display("event=grant grant={grant} account={account} router={router:08x} usage={usage}")]
     Grant {
         /// The grant.
         grant: u64,
         /// The account.
-        account: Account,
+        account: Rc<str>,
         /// The router where its request waits.
         router: Router,
         /// The account's usage.
         usage: Usage,
     },
     /// An attempt was admitted.
-    #[display("event=admit request={id} account={account:08x} via={via}")]
+    #[display("event=admit request={id} account={account} via={via}")]
     Admit {
         /// The attempt.
         id: RequestId,
         /// The account.
-        account: Account,
+        account: Rc<str>,
         /// `grant` or `offer`.
         via: &'static str,
     },
--- /dev/null
+++ b/tests/sidecar.rs
@@ -0,0 +1,331 @@
+//! A sidecar's admission: what it refuses, what it remembers, what it never runs twice.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use redwingyard::{
+    ids::id,
+    rules,
+    sidecar::{
+        Input,
+        Output,
+        Settings,
+        Sidecar, //
+    },
+    wire::{
+        Bid,
+        Dispatch,
+        End,
+        Head,
+        Message,
+        Reason,
+        RequestId, //
+    },
+};
+use rstest::rstest;
+
+const ROUTER: u32 = 5;
+const INCARNATION: u64 = 77;
+const RULES: &str = "generation 1 # kim\ntarget svc t # kim\nshare * a 1 # kim\n";
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn sidecar(text: &str) -> Sidecar {
+    let mut sidecar = Sidecar::new(Settings {
+        target: id("t"),
+        service: id("svc"),
+        slots: 2,
+        incarnation: INCARNATION,
+        wall: secs(1_000_000),
+    });
+    let rules = rules::from_str(text).expect("the rules are valid");
+    sidecar.step(secs(0), Input::Rules(Rc::new(rules)));
+    let up = Input::Up {
+        router: ROUTER,
+        incarnation: 9,
+    };
+    sidecar.step(secs(0), up);
+    sidecar
+}
+
+fn head(status: u16) -> Head {
+    Head {
+        status,
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        fields: Vec::new(),
+    }
+}
+
+fn dispatch(sequence: u64, stamp: Duration) -> Dispatch {
+    Dispatch {
+        id: RequestId {
+            router: 9,
+            sequence,
+            attempt: 1,
+        },
+        incarnation: INCARNATION,
+        stamp: stamp.as_millis() as u64,
+        grant: 0,
+        account: id("a"),
+        write: true,
+        key: None,
+        generation: 1,
+        head: Rc::new(head(0)),
+        body: Bytes::new(),
+        left: 1_000,
+    }
+}
+
+fn send(sidecar: &mut Sidecar, now: Duration, message: Message) -> Vec<Output> {
+    let router = ROUTER;
+    sidecar.step(now, Input::Message { router, message })
+}
+
+fn submit(sidecar: &mut Sidecar, now: Duration, dispatch: Dispatch) -> Vec<Output> {
+    send(sidecar, now, Message::Dispatch(Rc::new(dispatch)))
+}
+
+fn runs(outs: &[Output]) -> usize {
+    outs.iter()
+        .filter(|out| matches!(out, Output::Run(_)))
+        .count()
+}
+
+fn refusal(outs: &[Output]) -> Option<Reason> {
+    outs.iter().find_map(|out| match out {
+        Output::Send(_, Message::Refused { reason, .. }) => Some(*reason),
+        _ => None,
+    })
+}
+
+fn finish(sidecar: &mut Sidecar, now: Duration, sequence: u64) -> Vec<Output> {
+    let answer = Input::Answer {
+        id: dispatch(sequence, secs(0)).id,
+        head: Some(head(200)),
+        data: Bytes::from_static(b"saved"),
+        end: Some(End {
+            length: 5,
+            trailers: Vec::new(),
+        }),
+    };
+    sidecar.step(now, answer)
+}
+
+struct Refused {
+    rules: &'static str,
+    change: fn(&mut Dispatch),
+    now: u64,
+    reason: Reason,
+}
+
+/// Each fails without the line of `Sidecar::admit` that returns its reason.
+#[rstest]
+#[case::other_incarnation(Refused {
+    rules: RULES,
+    change: |dispatch| dispatch.incarnation += 1,
+    now: 1,
+    reason: Reason::Stale,
+})]
+#[case::late(Refused { rules: RULES, change: |_| {}, now: 12, reason: Reason::Expired })]
+#[case::leaving(Refused {
+    rules: "generation 1 # kim\ntarget svc t # kim\nleaving t # kim\n",
+    change: |_| {},
+    now: 1,
+    reason: Reason::Leaving,
+})]
+#[case::not_listed(Refused {
+    rules: "generation 1 # kim\ntarget svc u # kim\n",
+    change: |_| {},
+    now: 1,
+    reason: Reason::Leaving,
+})]
+#[case::key_of_another_generation(Refused {
+    rules: RULES,
+    change: |dispatch| {
+        dispatch.key = Some(Bid { key: 1, issued: None, fingerprint: 1 });
+        dispatch.generation = 2;
+    },
+    now: 1,
+    reason: Reason::Generation,
+})]
+#[case::opaque_key_at_a_newborn(Refused {
+    rules: RULES,
+    change: |dispatch| dispatch.key = Some(Bid { key: 1, issued: None, fingerprint: 1 }),
+    now: 1,
+    reason: Reason::KeyUnknown,
+})]
+#[case::key_older_than_the_sidecar(Refused {
+    rules: RULES,
+    change: |dispatch| {
+        let issued = Some(secs(999_999).as_millis() as u64);
+        dispatch.key = Some(Bid { key: 1, issued, fingerprint: 1 });
+    },
+    now: 5,
+    reason: Reason::KeyUnknown,
+})]
+fn refuses(#[case] case: Refused) {
+    let mut sidecar = sidecar(case.rules);
+    let mut dispatch = dispatch(1, secs(1));
+    (case.change)(&mut dispatch);
+    let outs = submit(&mut sidecar, secs(case.now), dispatch);
+    assert_eq!((runs(&outs), refusal(&outs)), (0, Some(case.reason)));
+}
+
+#[test]
+fn over_committed_slots_are_refused_truthfully() {
+    let mut sidecar = sidecar(RULES);
+    for i in 1..=2 {
+        assert_eq!(
+            runs(&submit(&mut sidecar, secs(1), dispatch(i, secs(1)))),
+            1
+        );
+    }
+    let outs = submit(&mut sidecar, secs(1), dispatch(3, secs(1)));
+    assert_eq!((runs(&outs), refusal(&outs)), (0, Some(Reason::Busy)));
+}
+
+/// Fails without the record that `Sidecar::dispatch` looks up first.
+#[test]
+fn a_replayed_dispatch_does_not_run_again() {
+    let mut sidecar = sidecar(RULES);
+    assert_eq!(
+        runs(&submit(&mut sidecar, secs(1), dispatch(1, secs(1)))),
+        1
+    );
+    assert_eq!(
+        runs(&submit(&mut sidecar, secs(2), dispatch(1, secs(1)))),
+        0
+    );
+    finish(&mut sidecar, secs(3), 1);
+    let outs = submit(&mut sidecar, secs(4), dispatch(1, secs(1)));
+    assert_eq!(runs(&outs), 0);
+    sidecar.step(secs(59), Input::Tick);
+    let late = submit(&mut sidecar, secs(60), dispatch(1, secs(1)));
+    assert_eq!((runs(&late), refusal(&late)), (0, Some(Reason::Expired)));
+}
+
+/// Fails without the tombstone in `Records::presume`.
+#[test]
+fn not_run_stays_not_run() {
+    let mut sidecar = sidecar(RULES);
+    let id = dispatch(1, secs(1)).id;
+    let query = Message::Query {
+        id,
+        stamp: 1_000,
+        offset: 0,
+    };
+    let outs = send(&mut sidecar, secs(2), query);
+    assert_eq!(refusal(&outs), Some(Reason::Cancelled));
+    let outs = submit(&mut sidecar, secs(3), dispatch(1, secs(1)));
+    assert_eq!((runs(&outs), refusal(&outs)), (0, Some(Reason::Cancelled)));
+}
+
+#[test]
+fn a_question_that_comes_too_late_is_unknown() {
+    let mut sidecar = sidecar(RULES);
+    let id = dispatch(1, secs(1)).id;
+    let query = Message::Query {
+        id,
+        stamp: 1_000,
+        offset: 0,
+    };
+    let outs = send(&mut sidecar, secs(30), query);
+    assert_eq!(refusal(&outs), Some(Reason::Forgotten));
+}
+
+#[test]
+fn a_repeated_key_gets_the_first_answer() {
+    let mut sidecar = sidecar(RULES);
+    let issued = Some(secs(1_000_010).as_millis() as u64);
+    let bid = Bid {
+        key: 1,
+        issued,
+        fingerprint: 1,
+    };
+    let with_key = |sequence, bid| Dispatch {
+        key: Some(bid),
+        ..dispatch(sequence, secs(11))
+    };
+    let now = secs(11);
+    assert_eq!(runs(&submit(&mut sidecar, now, with_key(1, bid))), 1);
+    let outs = submit(&mut sidecar, now, with_key(2, bid));
+    assert_eq!(refusal(&outs), Some(Reason::KeyRunning));
+    finish(&mut sidecar, now, 1);
+    let outs = submit(&mut sidecar, now, with_key(3, bid));
+    assert_eq!(runs(&outs), 0);
+    let replayed = outs.iter().any(|out| {
+        matches!(out, Output::Send(_, Message::Part(part)) if part.data == "saved" && part.end.is_some())
+    });
+    assert!(replayed, "{outs:?}");
+    let other = Bid {
+        fingerprint: 2,
+        ..bid
+    };
+    let outs = submit(&mut sidecar, now, with_key(4, other));
+    assert_eq!(refusal(&outs), Some(Reason::KeyReused));
+}
+
+#[test]
+fn a_cancelled_write_runs_to_its_end() {
+    let mut sidecar = sidecar(RULES);
+    submit(&mut sidecar, secs(1), dispatch(1, secs(1)));
+    let id = dispatch(1, secs(1)).id;
+    let outs = send(&mut sidecar, secs(2), Message::Cancel { id });
+    assert!(!outs.contains(&Output::Abort(id)));
+    let read = Dispatch {
+        write: false,
+        ..dispatch(2, secs(1))
+    };
+    submit(&mut sidecar, secs(1), read);
+    let id = dispatch(2, secs(1)).id;
+    let outs = send(&mut sidecar, secs(2), Message::Cancel { id });
+    assert!(outs.contains(&Output::Abort(id)));
+}
+
+#[test]
+fn draining_ends_with_the_last_attempt() {
+    let mut sidecar = sidecar(RULES);
+    submit(&mut sidecar, secs(1), dispatch(1, secs(1)));
+    assert!(
+        !sidecar
+            .step(secs(2), Input::Drain)
+            .contains(&Output::Drained)
+    );
+    let outs = submit(&mut sidecar, secs(2), dispatch(2, secs(1)));
+    assert_eq!(refusal(&outs), Some(Reason::Leaving));
+    assert!(finish(&mut sidecar, secs(3), 1).contains(&Output::Drained));
+}
+
+#[test]
+fn grants_never_exceed_slots_and_what_hides_a_round_trip() {
+    let mut sidecar = sidecar(RULES);
+    let demand = Message::Demand {
+        account: id("a"),
+        waiting: 1_000,
+        reach: 1,
+    };
+    let outs = send(&mut sidecar, secs(1), demand);
+    let grants = outs
+        .iter()
+        .filter(|out| matches!(out, Output::Send(_, Message::Grant { .. })));
+    // A round trip of 2 ms against a cost of 50 ms calls for one grant ahead.
+    assert_eq!(grants.count(), 3);
+}
+
+#[test]
+fn records_are_dropped_after_the_life_of_a_dispatch() {
+    let mut sidecar = sidecar(RULES);
+    for i in 1..=100 {
+        submit(&mut sidecar, secs(1), dispatch(i, secs(1)));
+        finish(&mut sidecar, secs(1), i);
+    }
+    assert_eq!(sidecar.records().len(), 100);
+    sidecar.step(secs(12), Input::Tick);
+    assert!(sidecar.records().is_empty());
+}
