--- a/src/shell/link.rs
+++ b/src/shell/link.rs
@@ -356,6 +356,15 @@
         self.links.borrow().keys().copied().collect()
     }
 
+    /// Returns the bytes of packets that the links have carried both ways.
+    pub(super) fn bytes(&self) -> u64 {
+        let bytes = |(_, sender): &(u64, Sender)| {
+            let stats = sender.connection.stats();
+            stats.udp_tx.bytes + stats.udp_rx.bytes
+        };
+        self.links.borrow().values().map(bytes).sum()
+    }
+
     pub(super) fn close(&self, peer: K) {
         if let Some((_, sender)) = self.links.borrow().get(&peer) {
             sender.close();
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -376,6 +376,11 @@
         self.process.sidecars.peers().len()
     }
 
+    /// Returns the bytes of packets that the open links have carried both ways.
+    pub fn link_bytes(&self) -> u64 {
+        self.process.sidecars.bytes() + self.process.peers.bytes()
+    }
+
     /// Breaks the links to sidecars without telling them, as a failing network would.
     pub fn cut(&self) {
         for target in self.process.sidecars.peers() {
