Halve the cost of idle links and of a busy fleet's figures

Cause: both sides of a link sent heartbeats of their own, each acknowledged; and sidecars reported and were answered each second with nothing to say. Change: the side that opened a link sends a heartbeat after 900 ms and the other answers it; reports and figures without news are not sent; a sidecar links to four routers, not six; timers run each 20 ms.

--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -59,6 +59,7 @@
 struct Leaf {
     incarnation: Incarnation,
     sequence: u64,
+    answered: u64,
     interest: BTreeMap<Account, Time>,
     told: BTreeMap<Account, Usage>,
 }
@@ -340,6 +341,7 @@
         leaf.told
             .retain(|account, _| leaf.interest.contains_key(account));
         let sequence = leaf.sequence;
+        let answered = std::mem::replace(&mut leaf.answered, sequence);
         for account in least {
             standings.push(Standing {
                 account,
@@ -349,7 +351,9 @@
                     .and_then(|backlog| backlog.router),
             });
         }
-        Some(Totals {
+        // A sidecar with nothing to learn is left alone.
+        let news = !standings.is_empty() || sequence != answered;
+        news.then_some(Totals {
             sequence,
             level: self.level,
             standings,
--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -148,6 +148,11 @@
         behind.then_some(*router)
     }
 
+    /// Returns whether there is service that no router has acknowledged.
+    pub fn has_news(&self) -> bool {
+        !self.batch.is_empty() || !self.pending.is_empty()
+    }
+
     /// Returns the report to send; the same one until it is acknowledged.
     pub fn report(&mut self, wanted: Vec<Account>) -> Report {
         if self.batch.is_empty() {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -6,7 +6,7 @@
 };
 
 /// The routers to which a sidecar keeps links while it has work.
-pub const SUBSET: usize = 6;
+pub const SUBSET: usize = 4;
 
 /// The children of a router in the exchange tree.
 pub const FAN_OUT: usize = 2;
--- a/src/shell/link.rs
+++ b/src/shell/link.rs
@@ -60,11 +60,15 @@
     },
 };
 
-/// The interval of heartbeats on a link.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
+/// The idle time after which the side that opened a link sends a heartbeat; the other
+/// side answers it, so that the answer carries the transport's acknowledgement.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(900);
 
 /// The silence after which a link is replaced.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The interval at which a link is checked for silence.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// The time that opening a link may take.
 const OPEN_LIMIT: Duration = Duration::from_millis(1_000);
@@ -100,7 +104,8 @@
     queue: UnboundedSender<Message>,
     connection: Connection,
     counters: Rc<Counters>,
-    active: Rc<Cell<bool>>,
+    sent: Rc<Cell<Time>>,
+    clock: Rc<Clock>,
 }
 
 /// What has passed over the links of a process.
@@ -114,7 +119,7 @@
 impl Sender {
     /// Queues a message; one for a link that has gone is dropped.
     pub(super) fn send(&self, message: Message) {
-        self.active.set(true);
+        self.sent.set(self.clock.now());
         let _ = self.queue.unbounded_send(message);
     }
 
@@ -129,6 +134,7 @@
     pub(super) hello: Hello,
     pub(super) sender: Sender,
     reader: Reader,
+    opened: bool,
 }
 
 struct Reader {
@@ -155,7 +161,7 @@
     let open = async {
         let connection = endpoint.connect(address, PEER_NAME, None)?.await?;
         let (send, recv) = connection.open_bi_wait().await?;
-        introduce(connection, send, recv, context).await
+        introduce(connection, send, recv, context, true).await
     };
     timeout(OPEN_LIMIT, open)
         .await
@@ -166,7 +172,7 @@
 pub(super) async fn accept(connection: Connection, context: &Context) -> Result<Link, LinkError> {
     let open = async {
         let (send, recv) = connection.accept_bi().await?;
-        introduce(connection, send, recv, context).await
+        introduce(connection, send, recv, context, false).await
     };
     timeout(OPEN_LIMIT, open)
         .await
@@ -178,6 +184,7 @@
     send: SendStream,
     recv: RecvStream,
     context: &Context,
+    opened: bool,
 ) -> Result<Link, LinkError> {
     let (queue, messages) = unbounded();
     let heard = Rc::new(Cell::new(context.clock.now()));
@@ -185,7 +192,8 @@
         queue,
         connection,
         counters: context.counters.clone(),
-        active: Rc::default(),
+        sent: Rc::default(),
+        clock: context.clock.clone(),
     };
     sender.send(Message::Hello((context.hello)()));
     spawn(write(send, messages, sender.counters.clone())).detach();
@@ -203,6 +211,7 @@
         hello,
         sender,
         reader,
+        opened,
     })
 }
 
@@ -213,18 +222,23 @@
         context: &Context,
         mut take: impl FnMut(Message),
     ) -> Result<(), LinkError> {
-        let heard = self.reader.heard.clone();
         let done = Rc::new(Cell::new(false));
-        spawn(watch(
-            self.sender.clone(),
-            context.clone(),
-            heard,
-            done.clone(),
-        ))
-        .detach();
+        let watched = Watched {
+            sender: self.sender.clone(),
+            context: context.clone(),
+            heard: self.reader.heard.clone(),
+            opened: self.opened,
+            done: done.clone(),
+        };
+        spawn(watched.watch()).detach();
         let result = loop {
             match self.reader.next(&context.clock).await {
-                Ok(Some(message)) => take(message),
+                Ok(Some(message)) => {
+                    if !self.opened && matches!(message, Message::Heartbeat(_)) {
+                        self.sender.send(context.heartbeat());
+                    }
+                    take(message);
+                }
                 Ok(None) => break Ok(()),
                 Err(err) => break Err(err),
             }
@@ -235,6 +249,40 @@
     }
 }
 
+impl Context {
+    fn heartbeat(&self) -> Message {
+        let version: Version = (self.hello)().version;
+        Message::Heartbeat(version)
+    }
+}
+
+/// A link that is watched for silence.
+struct Watched {
+    sender: Sender,
+    context: Context,
+    heard: Rc<Cell<Time>>,
+    opened: bool,
+    done: Rc<Cell<bool>>,
+}
+
+impl Watched {
+    /// Sends heartbeats and closes a link that has gone silent.
+    async fn watch(self) {
+        while !self.done.get() {
+            let now = self.context.clock.now();
+            if now > self.heard.get() + SILENCE_LIMIT {
+                self.sender.close();
+                return;
+            }
+            let quiet = self.heard.get().min(self.sender.sent.get());
+            if self.opened && now >= quiet + HEARTBEAT_INTERVAL {
+                self.sender.send(self.context.heartbeat());
+            }
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
 impl Reader {
     async fn next(&mut self, clock: &Clock) -> Result<Option<Message>, LinkError> {
         loop {
@@ -257,23 +305,6 @@
     }
 }
 
-/// Sends heartbeats and closes a link that has gone silent.
-async fn watch(sender: Sender, context: Context, heard: Rc<Cell<Time>>, done: Rc<Cell<bool>>) {
-    while !done.get() {
-        // Any other message shows as well that this side lives.
-        if !sender.active.replace(false) {
-            let version: Version = (context.hello)().version;
-            sender.send(Message::Heartbeat(version));
-            sender.active.set(false);
-        }
-        sleep(HEARTBEAT_INTERVAL).await;
-        if context.clock.now() > heard.get() + SILENCE_LIMIT {
-            sender.close();
-            return;
-        }
-    }
-}
-
 /// Writes queued messages, as many at a time as are there.
 async fn write(
     mut stream: SendStream,
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -79,7 +79,7 @@
 };
 
 /// The interval of a process's timers.
-pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The time that a peer must have been silent for its place as a reader to pass on.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -832,7 +832,10 @@
             .retain(|_, asked| now < *asked + INTEREST_INTERVAL);
         let asked = &mut self.asked;
         let fresh = |account: &Account| asked.insert(*account, now).is_none();
-        let wanted = backlogged.into_iter().filter(fresh).collect();
+        let wanted: Vec<_> = backlogged.into_iter().filter(fresh).collect();
+        if wanted.is_empty() && !self.view.has_news() {
+            return;
+        }
         let report = self.view.report(wanted);
         self.outs.push(Output::Send(home, Message::Report(report)));
     }
