Tell a new parent what no earlier one has acknowledged

Cause: when a router changed its parent, both sides took the larger of their absolute figures, so service that both had counted since was counted once; an account served on both sides then seemed behind. Change: a router keeps the service that its parent has not acknowledged and gives it to the next as sums; absolute figures go downwards, and upwards only to a router that started empty.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -192,9 +192,9 @@
 /// A table of accounts that all wait and have all been served.
 fn table(accounts: usize) -> Table {
     let mut table = Table::new(SERVICE);
-    table.link(2);
-    table.link(3);
-    table.link(4);
+    table.link(2, true);
+    table.link(3, false);
+    table.link(4, false);
     for i in 0..accounts {
         table.observe(Duration::ZERO, 1, account(i), 10);
     }
@@ -214,7 +214,7 @@
 
 fn exchange_message(accounts: usize) -> f64 {
     let (mut one, mut other) = (table(accounts), Table::new(SERVICE));
-    other.link(3);
+    other.link(3, false);
     settle(&mut one, &mut other);
     one.report(Duration::ZERO, 7, 70, &report(accounts, 2));
     let exchange = one.exchange(2).expect("a link");
@@ -223,7 +223,7 @@
 
 fn exchange_merge(accounts: usize) -> f64 {
     let (mut one, mut other) = (table(accounts), Table::new(SERVICE));
-    other.link(3);
+    other.link(3, false);
     settle(&mut one, &mut other);
     let mut sequence = 1;
     least(|| {
--- a/src/fair/mod.rs
+++ b/src/fair/mod.rs
@@ -24,7 +24,7 @@
 use crate::ids::Usage;
 
 /// The largest lead that one backlogged account may have over another, in usage.
-pub const MAX_LEAD: Usage = 120_000_000;
+pub const MAX_LEAD: Usage = 20_000_000;
 
 /// Returns the lower median, the level at which a returning account starts.
 ///
--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -72,6 +72,7 @@
     sent: u64,
     acked: u64,
     received: u64,
+    upward: bool,
     /// The exchange from which on absolute figures are sent until acknowledged.
     based: u64,
 }
@@ -80,8 +81,9 @@
 ///
 /// Each link of the tree carries running sums of the service counted on its far side.
 /// Sums only grow while the link lasts, so a lost, late, doubled or reordered exchange
-/// does no harm. A new link starts with the absolute figures of both sides, of which
-/// each takes the larger.
+/// does no harm. On a new link the child tells its parent of the service that no earlier
+/// parent has acknowledged, and the parent answers with absolute figures, of which the
+/// child takes the larger; a parent that has started empty adopts its first child's.
 #[derive(Debug, Default)]
 pub struct Table {
     service: Service,
@@ -90,6 +92,12 @@
     backlogs: BTreeMap<Account, Vec<Backlog>>,
     leaves: BTreeMap<Target, Leaf>,
     edges: BTreeMap<Router, Edge>,
+    /// Service counted on this side that no parent has been told of, and the exchange
+    /// that tells of the rest.
+    unsent: BTreeMap<Account, Usage>,
+    flight: Option<(u64, BTreeMap<Account, Usage>)>,
+    /// Whether absolute figures have been adopted or had at all.
+    seasoned: bool,
 }
 
 impl Table {
@@ -187,14 +195,33 @@
     }
 
     /// Begins a link to another router.
-    pub fn link(&mut self, peer: Router) {
-        let edge = Edge {
+    ///
+    /// `upward` says that the peer is this router's parent. It is then told, as sums, of
+    /// all service that an earlier parent has not acknowledged.
+    pub fn link(&mut self, peer: Router, upward: bool) {
+        let mut edge = Edge {
+            upward,
             based: 1,
             ..Edge::default()
         };
+        if upward {
+            self.restore_unsent();
+            let unsent = self.unsent.iter();
+            edge.out = unsent
+                .map(|(account, usage)| (*account, (*usage, 1)))
+                .collect();
+        }
         self.edges.insert(peer, edge);
     }
 
+    /// Takes back what was on its way to a parent.
+    fn restore_unsent(&mut self) {
+        let (_, flight) = self.flight.take().unwrap_or_default();
+        for (account, usage) in flight {
+            *self.unsent.entry(account).or_default() += usage;
+        }
+    }
+
     /// Ends a link to another router.
     pub fn unlink(&mut self, peer: Router) {
         self.edges.remove(&peer);
@@ -207,6 +234,9 @@
         let hints = self.hints(peer);
         let edge = self.edges.get_mut(&peer)?;
         edge.sent += 1;
+        if edge.upward && self.flight.is_none() {
+            self.flight = Some((edge.sent, std::mem::take(&mut self.unsent)));
+        }
         let base = match edge.acked < edge.based {
             true => tallies_of(&self.usage),
             false => Vec::new(),
@@ -249,22 +279,30 @@
         let Some(edge) = self.edges.get_mut(&peer) else {
             return;
         };
-        // The first base includes what the link has carried so far.
+        // A parent's first base includes what the link has carried so far.
         let first = edge.received == 0;
         edge.received = edge.received.max(exchange.sequence);
         edge.acked = edge.acked.max(exchange.ack);
+        let upward = edge.upward;
+        let acked = edge.acked;
         let mut grown = Vec::new();
         for entry in &exchange.entries {
             let seen = edge.seen.entry(entry.account).or_default();
             grown.push((entry.account, entry.usage.saturating_sub(*seen)));
             *seen = entry.usage.max(*seen);
         }
-        if !first {
+        if upward && self.flight.as_ref().is_some_and(|(sent, _)| acked >= *sent) {
+            self.flight = None;
+        }
+        if !upward || !first {
             for (account, usage) in grown {
                 self.add(account, usage, Some(peer));
             }
         }
-        self.adopt(peer, &exchange.base);
+        // A parent that has figures of its own needs only what this side has counted.
+        if upward || !self.seasoned {
+            self.adopt(peer, &exchange.base);
+        }
         self.level = self.level.max(exchange.level);
         self.forget_backlogs(Some(peer));
         for entry in exchange.entries.iter().filter(|entry| entry.waiting > 0) {
@@ -406,6 +444,10 @@
             return;
         }
         *self.usage.entry(account).or_default() += usage;
+        let from_parent = via.is_some_and(|via| self.edges.get(&via).is_some_and(|e| e.upward));
+        if !from_parent {
+            *self.unsent.entry(account).or_default() += usage;
+        }
         for (peer, edge) in &mut self.edges {
             if Some(*peer) != via {
                 let (sum, changed) = edge.out.entry(account).or_default();
@@ -420,6 +462,7 @@
     /// They are passed on as absolute figures: passed on as sums, the figures that an
     /// empty router adopts would count twice.
     fn adopt(&mut self, peer: Router, base: &[Tally]) {
+        self.seasoned |= !base.is_empty();
         let mut raised = 0;
         for tally in base {
             let missing = tally.usage.saturating_sub(self.usage(tally.account));
@@ -430,7 +473,7 @@
             return;
         }
         for (other, edge) in &mut self.edges {
-            if *other != peer {
+            if *other != peer && !edge.upward {
                 edge.based = edge.sent + 1;
             }
         }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -512,10 +512,11 @@
 
     fn table_mut(&mut self, service: Service) -> &mut Table {
         let peers = &self.peers;
+        let me = member::rank(self.settings.router);
         self.tables.entry(service).or_insert_with(|| {
             let mut table = Table::new(service);
             for peer in peers {
-                table.link(*peer);
+                table.link(*peer, member::rank(*peer) < me);
             }
             table
         })
@@ -935,8 +936,9 @@
 
     fn peer_up(&mut self, router: ids::Router) {
         self.peers.insert(router);
+        let upward = member::rank(router) < member::rank(self.settings.router);
         for table in self.tables.values_mut() {
-            table.link(router);
+            table.link(router, upward);
         }
     }
 
