Call a key that still runs at the deadline unknown

Cause: a request whose key was running for another attempt was refused at its deadline as not run; that attempt had not run, but what the caller asks for may. Change: such a refusal says key-running and unknown.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -917,7 +917,14 @@
                 self.delay(sequence, now);
                 self.requeue(now, sequence);
             }
-            Reason::Unreachable | Reason::Generation | Reason::KeyRunning => {
+            Reason::Unreachable | Reason::Generation => {
+                self.delay(sequence, now + RETURN_WAIT);
+            }
+            Reason::KeyRunning => {
+                // This attempt did not run, but what the caller asks for may.
+                if let Some(request) = self.requests.get_mut(&sequence) {
+                    request.doubtful = true;
+                }
                 self.delay(sequence, now + RETURN_WAIT);
             }
             Reason::KeyReused => self.refuse(sequence, Cause::KeyReused, Ran::No),
@@ -1018,7 +1025,13 @@
                 self.refuse(sequence, Cause::Deadline, Ran::No);
                 self.tell(now, owner);
             }
-            Stage::Delayed if late => self.refuse(sequence, Cause::Deadline, Ran::No),
+            Stage::Delayed if late => {
+                let cause = match request.ask.bid.is_some() && request.doubtful {
+                    true => Cause::KeyRunning,
+                    false => Cause::Deadline,
+                };
+                self.refuse(sequence, cause, Ran::No);
+            }
             Stage::Delayed => self.requeue(now, sequence),
             Stage::Flying(flight) if late => {
                 let id = self.id_of(sequence, request);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -184,6 +184,50 @@
     assert_eq!(replies(&outs, sequence), [Reply::Refuse(refusal)]);
 }
 
+/// The attempt did not run, but the caller's request with this key may.
+#[test]
+fn a_key_that_runs_elsewhere_until_the_deadline_is_unknown() {
+    let text = "generation 1 # kim\ntarget svc t # kim\n";
+    let rules = redwingyard::rules::from_str(text).expect("the rules are valid");
+    let mut router = router(Bounds::default());
+    router.step(secs(0), Input::Rules(Rc::new(rules)));
+    let (target, service) = (redwingyard::ids::id("t"), redwingyard::ids::id("svc"));
+    let input = Input::Up {
+        target,
+        service,
+        incarnation: 70,
+    };
+    router.step(secs(0), input);
+    offer(&mut router, secs(0), target, 1);
+    let bid = redwingyard::wire::Bid {
+        key: 1,
+        issued: None,
+        fingerprint: 1,
+    };
+    let keyed = Ask {
+        service,
+        bid: Some(bid),
+        ..ask(1, true)
+    };
+    let (sequence, outs) = router.arrive(secs(0), keyed);
+    let (_, id) = dispatched(&outs).expect("the owner has offered a slot");
+    let reason = Reason::KeyRunning;
+    tell(
+        &mut router,
+        secs(29),
+        target,
+        Message::Refused { id, reason },
+    );
+    let outs = router.step(secs(31), Input::Tick);
+    let [Reply::Refuse(refusal)] = replies(&outs, sequence)[..] else {
+        panic!("{outs:?}");
+    };
+    assert_eq!(
+        (refusal.cause, refusal.ran),
+        (Cause::KeyRunning, Ran::Unknown)
+    );
+}
+
 #[test]
 fn a_deadline_after_dispatch_is_unknown_and_cancels() {
     let (mut router, sequence, id) = flying(true);
