--- a/benches/capacity/alloc.rs
+++ b/benches/capacity/alloc.rs
@@ -9,7 +9,7 @@
     sync::atomic::{
         AtomicIsize,
         Ordering, //
-    },
+    }, //
 };
 
 static IN_USE: AtomicIsize = AtomicIsize::new(0);
--- a/benches/capacity/links.rs
+++ b/benches/capacity/links.rs
@@ -8,7 +8,7 @@
         OnceLock, //
     },
     thread,
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::runtime::Runtime;
@@ -18,7 +18,7 @@
         RouterProcess,
         SidecarProcess,
         generate, //
-    },
+    }, //
 };
 
 use super::standin::{
@@ -27,7 +27,7 @@
     platform::{
         self,
         Values, //
-    },
+    }, //
 };
 
 /// The time over which traffic is counted.
--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -6,7 +6,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use bytes::Bytes;
@@ -44,7 +44,7 @@
         RequestId,
         Tally,
         encode, //
-    },
+    }, //
 };
 
 use super::{
--- a/benches/fairness/baseline.rs
+++ b/benches/fairness/baseline.rs
@@ -5,7 +5,7 @@
         BTreeMap,
         VecDeque, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use redwingyard::ids::Time;
@@ -20,9 +20,9 @@
             Call,
             Outcome,
             Truth, //
-        },
+        }, //
     },
-    scenario::Scenario,
+    scenario::Scenario, //
 };
 
 /// The interval at which the load reports of a baseline arrive.
--- a/benches/fairness/main.rs
+++ b/benches/fairness/main.rs
@@ -19,10 +19,10 @@
         atomic::{
             AtomicUsize,
             Ordering, //
-        },
+        }, //
     },
     thread,
-    time::Duration,
+    time::Duration, //
 };
 
 use bounds::Figures;
--- a/benches/latency/main.rs
+++ b/benches/latency/main.rs
@@ -12,7 +12,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use compio::{
@@ -20,7 +20,7 @@
         Runtime,
         spawn, //
     },
-    time::sleep,
+    time::sleep, //
 };
 use futures_util::future::join_all;
 use hdrhistogram::Histogram;
@@ -39,7 +39,7 @@
     platform::{
         self,
         Values, //
-    },
+    }, //
 };
 
 const RULES: &str = "\
--- a/examples/local/main.rs
+++ b/examples/local/main.rs
@@ -32,7 +32,7 @@
     platform::{
         self,
         Values, //
-    },
+    }, //
 };
 
 const ENGINES: usize = 4;
--- a/examples/local/traffic.rs
+++ b/examples/local/traffic.rs
@@ -8,7 +8,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use compio::{
@@ -16,7 +16,7 @@
         Runtime,
         spawn, //
     },
-    time::sleep,
+    time::sleep, //
 };
 use futures_util::future::join_all;
 use hdrhistogram::Histogram;
--- a/examples/standin/client.rs
+++ b/examples/standin/client.rs
@@ -13,11 +13,13 @@
     Full, //
 };
 use hyper::{
-    HeaderMap, Method, Request,
+    HeaderMap,
+    Method,
+    Request,
     client::conn::http1::{
         SendRequest,
         handshake, //
-    },
+    }, //
 };
 
 /// A caller's connection to a router.
--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -6,7 +6,7 @@
         self,
         JoinHandle, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::runtime::Runtime;
@@ -23,7 +23,7 @@
         RouterProcess,
         SidecarProcess,
         Vm, //
-    },
+    }, //
 };
 
 use super::platform::Values;
--- a/examples/standin/plain.rs
+++ b/examples/standin/plain.rs
@@ -7,7 +7,7 @@
         Arc,
         Mutex, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::time::sleep;
--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -5,17 +5,18 @@
     net::SocketAddr,
     rc::Rc,
     sync::{
-        Arc, Mutex,
+        Arc,
+        Mutex,
         atomic::{
             AtomicBool,
             AtomicU64,
             Ordering, //
-        },
+        }, //
     },
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use compio::time::sleep;
--- a/examples/standin/server.rs
+++ b/examples/standin/server.rs
@@ -19,13 +19,14 @@
 };
 use http_body_util::StreamBody;
 use hyper::{
-    Request, Response,
+    Request,
+    Response,
     body::{
         Frame,
         Incoming, //
     },
     server::conn::http1,
-    service::service_fn,
+    service::service_fn, //
 };
 
 /// The body of a stand-in's answer.
--- a/src/cli/verbs.rs
+++ b/src/cli/verbs.rs
@@ -32,7 +32,7 @@
         KeyError,
         RouterProcess,
         SidecarProcess, //
-    },
+    }, //
 };
 
 const USAGE: &str = "\
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,7 +13,7 @@
         self,
         Rules, //
     },
-    wire::Version,
+    wire::Version, //
 };
 
 /// Why a text does not come into force.
--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -27,7 +27,7 @@
         Standing,
         Tally,
         Totals, //
-    },
+    }, //
 };
 
 /// The interval between two exchanges of routers.
--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -16,7 +16,7 @@
         Report,
         Tally,
         Totals, //
-    },
+    }, //
 };
 
 /// The time from the last figures to a sidecar's next report, a little less than the
--- /dev/null
+++ b/src/router/exchange.rs
@@ -0,0 +1,143 @@
+//! Figures exchanged with sidecars and other routers.
+
+use super::{
+    Output,
+    Router,
+    queue::Owner, //
+};
+use crate::{
+    fair::{
+        EXCHANGE_INTERVAL,
+        Table, //
+    },
+    ids::{
+        self,
+        Service,
+        Target,
+        Time, //
+    },
+    member,
+    wire::{
+        Message,
+        Report, //
+    }, //
+};
+
+impl Router {
+    pub(super) fn observe(&mut self, now: Time, owner: Owner) {
+        let waiting = self.queues.len(owner) as u32;
+        let me = self.settings.router;
+        self.table_mut(owner.0).observe(now, me, owner.1, waiting);
+    }
+
+    pub(super) fn table_mut(&mut self, service: Service) -> &mut Table {
+        let peers = &self.peers;
+        let me = member::rank(self.settings.router);
+        self.tables.entry(service).or_insert_with(|| {
+            let mut table = Table::new(service);
+            for peer in peers {
+                table.link(*peer, member::rank(*peer) < me);
+            }
+            table
+        })
+    }
+
+    pub(super) fn report(&mut self, now: Time, target: Target, report: &Report) {
+        let link = &self.links[&target];
+        let (service, incarnation) = (link.service, link.incarnation);
+        let table = self.table_mut(service);
+        table.report(now, target, incarnation, report);
+    }
+
+    pub(super) fn peer_up(&mut self, router: ids::Router) {
+        self.peers.insert(router);
+        let upward = member::rank(router) < member::rank(self.settings.router);
+        for table in self.tables.values_mut() {
+            table.link(router, upward);
+        }
+    }
+
+    pub(super) fn peer_down(&mut self, router: ids::Router) {
+        self.peers.remove(&router);
+        for table in self.tables.values_mut() {
+            table.unlink(router);
+        }
+    }
+
+    pub(super) fn peer_message(&mut self, now: Time, router: ids::Router, message: Message) {
+        let Message::Exchange(exchanges) = message else {
+            return;
+        };
+        if !self.peers.contains(&router) {
+            return;
+        }
+        for exchange in &exchanges {
+            let table = self.table_mut(exchange.service);
+            table.merge(now, router, exchange);
+        }
+        if self.parent() == Some(router) {
+            // The leaves of the tree start the next wave together.
+            self.exchanged = now;
+            return self.exchange_down(now);
+        }
+        self.heard.insert(router);
+        let whole = self.children().all(|child| self.heard.contains(&child));
+        if whole && now >= self.exchanged + EXCHANGE_INTERVAL / 2 {
+            self.exchange_up(now);
+        }
+    }
+
+    /// Returns the peer towards the root of the exchange tree.
+    pub(super) fn parent(&self) -> Option<ids::Router> {
+        let me = member::rank(self.settings.router);
+        let lower = self.peers.iter().filter(|peer| member::rank(**peer) < me);
+        lower.min_by_key(|peer| member::rank(**peer)).copied()
+    }
+
+    pub(super) fn children(&self) -> impl Iterator<Item = ids::Router> {
+        let parent = self.parent();
+        let peers = self.peers.iter().copied();
+        peers.filter(move |peer| Some(*peer) != parent)
+    }
+
+    /// Sends a wave of figures towards the root, or turns it around there.
+    pub(super) fn exchange_up(&mut self, now: Time) {
+        self.exchanged = now;
+        self.heard.clear();
+        for table in self.tables.values_mut() {
+            table.forget_own();
+        }
+        let owners: Vec<_> = self.queues.iter().map(|(owner, _)| owner).collect();
+        for owner in owners {
+            self.observe(now, owner);
+        }
+        for table in self.tables.values_mut() {
+            table.tick(now);
+        }
+        match self.parent() {
+            Some(parent) => self.exchange(parent),
+            None => self.exchange_down(now),
+        }
+    }
+
+    /// Sends a wave of figures towards the leaves of the tree and to sidecars.
+    pub(super) fn exchange_down(&mut self, now: Time) {
+        let children: Vec<_> = self.children().collect();
+        for child in children {
+            self.exchange(child);
+        }
+        for table in self.tables.values_mut() {
+            for (target, totals) in table.all_totals(now) {
+                self.outs
+                    .push(Output::Send(target, Message::Totals(totals)));
+            }
+        }
+    }
+
+    pub(super) fn exchange(&mut self, peer: ids::Router) {
+        let tables = self.tables.values_mut();
+        let exchanges: Vec<_> = tables.filter_map(|table| table.exchange(peer)).collect();
+        let message = Message::Exchange(exchanges);
+        self.outs.push(Output::SendPeer(peer, message));
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -1,8 +1,12 @@
 //! The decisions of a router: queues, hand-over to targets, retries and answers.
 
+mod answer;
 mod budget;
 mod core;
 mod event;
+mod exchange;
+mod outcome;
+mod place;
 mod probe;
 mod queue;
 mod reply;
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -5,7 +5,7 @@
         BTreeMap,
         VecDeque, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use crate::ids::{
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -18,7 +18,7 @@
     wire::{
         Bid,
         Head, //
-    },
+    }, //
 };
 
 /// What a caller asks for.
--- a/src/shell/admin.rs
+++ b/src/shell/admin.rs
@@ -35,7 +35,7 @@
         self,
         TICK_INTERVAL, //
     },
-    sidecar,
+    sidecar, //
 };
 use crate::wire::Version;
 
--- a/src/shell/body.rs
+++ b/src/shell/body.rs
@@ -5,7 +5,7 @@
     task::{
         Context,
         Poll, //
-    },
+    }, //
 };
 
 use bytes::Bytes;
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -7,7 +7,7 @@
         Instant,
         SystemTime,
         UNIX_EPOCH, //
-    },
+    }, //
 };
 
 use crate::ids::Time;
--- a/src/shell/front.rs
+++ b/src/shell/front.rs
@@ -52,7 +52,7 @@
     wire::{
         Bid,
         Head, //
-    },
+    }, //
 };
 
 /// The header field with a caller's idempotency key.
--- a/src/shell/link.rs
+++ b/src/shell/link.rs
@@ -8,7 +8,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::{
@@ -30,7 +30,7 @@
     time::{
         sleep,
         timeout, //
-    },
+    }, //
 };
 use derive_more::{
     Display,
@@ -57,7 +57,7 @@
         Message,
         Version,
         encode, //
-    },
+    }, //
 };
 
 /// The idle time after which the side that opened a link sends a heartbeat; the other
--- a/src/shell/problem.rs
+++ b/src/shell/problem.rs
@@ -2,12 +2,13 @@
 
 use bytes::Bytes;
 use hyper::{
-    Response, StatusCode,
+    Response,
+    StatusCode,
     header::{
         CONTENT_TYPE,
         HeaderValue,
         RETRY_AFTER, //
-    },
+    }, //
 };
 use serde::Serialize;
 
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -9,7 +9,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::{
@@ -35,7 +35,11 @@
 };
 
 use super::{
-    Clock, KeyError, Vm, admin, front,
+    Clock,
+    KeyError,
+    Vm,
+    admin,
+    front,
     link::{
         self,
         Context,
@@ -44,7 +48,7 @@
         Links, //
     },
     platform::Watch,
-    tls,
+    tls, //
 };
 use crate::{
     config::{
@@ -75,7 +79,7 @@
         Message,
         Peer,
         Version, //
-    },
+    }, //
 };
 
 /// The interval of a process's timers.
--- a/src/shell/sidecar.rs
+++ b/src/shell/sidecar.rs
@@ -12,7 +12,7 @@
     },
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::{
@@ -22,12 +22,14 @@
         JoinHandle,
         spawn, //
     },
-    time::sleep,
+    time::sleep, //
 };
 use futures_channel::oneshot;
 
 use super::{
-    Clock, Vm, admin,
+    Clock,
+    Vm,
+    admin,
     link::{
         self,
         Context,
@@ -44,7 +46,7 @@
         watch, //
     },
     target::Target,
-    tls,
+    tls, //
 };
 use crate::{
     config::{
@@ -73,7 +75,7 @@
         Peer,
         RequestId,
         Version, //
-    },
+    }, //
 };
 
 /// The interval at which links to routers are checked.
--- a/src/shell/target.rs
+++ b/src/shell/target.rs
@@ -23,7 +23,10 @@
     Full, //
 };
 use hyper::{
-    Method, Request, Response, Uri,
+    Method,
+    Request,
+    Response,
+    Uri,
     body::Incoming,
     client::conn::http1::{
         SendRequest,
@@ -32,7 +35,7 @@
     header::{
         HOST,
         HeaderValue, //
-    },
+    }, //
 };
 
 use super::fields::{
--- a/src/shell/tls.rs
+++ b/src/shell/tls.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 
 use compio::quic::{
-    ClientConfig, ServerConfig, TransportConfig, VarInt,
+    ClientConfig,
+    ServerConfig,
+    TransportConfig,
+    VarInt,
     crypto::rustls::{
         NoInitialCipherSuite,
         QuicClientConfig,
         QuicServerConfig, //
-    },
+    }, //
 };
 use derive_more::{
     Display,
@@ -36,7 +39,7 @@
     server::{
         VerifierBuilderError,
         WebPkiClientVerifier, //
-    },
+    }, //
 };
 
 use crate::settings::Keys;
--- a/src/sidecar/event.rs
+++ b/src/sidecar/event.rs
@@ -13,7 +13,7 @@
     wire::{
         Reason,
         RequestId, //
-    },
+    }, //
 };
 
 /// What a sidecar decided, as one line of key=value pairs.
--- a/src/sidecar/key.rs
+++ b/src/sidecar/key.rs
@@ -6,7 +6,7 @@
         VecDeque, //
     },
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -18,7 +18,7 @@
         End,
         Head,
         Reason, //
-    },
+    }, //
 };
 
 /// The time that a key is remembered after its first use.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,11 +1,15 @@
 //! The decisions of a sidecar: admission to its target and the outcome of each attempt.
 
+mod admit;
 mod answer;
 mod core;
 mod event;
+mod grant;
 mod key;
 mod limit;
 mod record;
+mod run;
+mod sweep;
 
 pub use answer::Answer;
 pub use core::{
@@ -22,8 +26,8 @@
 };
 pub use limit::Limit;
 pub use record::{
-    DISPATCH_LIFE, //
+    DISPATCH_LIFE,
     Record,
     Records,
-    State,
+    State, //
 };
--- a/src/sidecar/record.rs
+++ b/src/sidecar/record.rs
@@ -5,7 +5,7 @@
         HashMap,
         VecDeque, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use super::Answer;
@@ -14,7 +14,7 @@
     wire::{
         Reason,
         RequestId, //
-    },
+    }, //
 };
 
 /// The time after its invitation at which a sidecar refuses a dispatch.
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -15,7 +15,7 @@
         Error,
         Store, //
     },
-    member,
+    member, //
 };
 use rstest::rstest;
 
--- a/tests/drive/fleet.rs
+++ b/tests/drive/fleet.rs
@@ -10,7 +10,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use redwingyard::{
@@ -43,7 +43,7 @@
         Message,
         RequestId,
         encode, //
-    },
+    }, //
 };
 
 use super::{
@@ -55,7 +55,7 @@
         Call,
         Outcome,
         Truth, //
-    },
+    }, //
 };
 
 pub const TICK: Duration = Duration::from_millis(10);
--- a/tests/drive/plan.rs
+++ b/tests/drive/plan.rs
@@ -8,7 +8,7 @@
     rules::{
         self,
         Rules, //
-    },
+    }, //
 };
 
 /// The one service of a drive.
--- a/tests/drive/truth.rs
+++ b/tests/drive/truth.rs
@@ -5,7 +5,7 @@
         BTreeMap,
         HashMap, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use redwingyard::{
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use drive::{
-    Fleet, Load, Plan,
+    Fleet,
+    Load,
+    Plan,
     fleet::Node,
     truth::{
         Call,
         Outcome, //
-    },
+    }, //
 };
 use proptest::{
     prelude::*,
@@ -19,7 +21,7 @@
         RngAlgorithm,
         TestRng,
         TestRunner, //
-    },
+    }, //
 };
 use redwingyard::{
     router::Ran,
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -30,7 +30,7 @@
         Part,
         Reason,
         RequestId, //
-    },
+    }, //
 };
 use rstest::rstest;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -7,14 +7,14 @@
         RngAlgorithm,
         TestRng,
         TestRunner, //
-    },
+    }, //
 };
 use redwingyard::{
     ids::id,
     rules::{
         self,
         MAX_TEXT, //
-    },
+    }, //
 };
 use rstest::rstest;
 
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -23,7 +23,7 @@
         Message,
         Reason,
         RequestId, //
-    },
+    }, //
 };
 use rstest::rstest;
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -9,7 +9,7 @@
         TcpStream, //
     },
     thread,
-    time::Duration,
+    time::Duration, //
 };
 
 use compio::runtime::Runtime;
@@ -18,7 +18,7 @@
         Keys,
         Platform, //
     },
-    shell::generate,
+    shell::generate, //
 };
 use rstest::rstest;
 use standin::{
@@ -42,7 +42,7 @@
     platform::{
         self,
         Values, //
-    },
+    }, //
 };
 
 const RULES: &str = "\
