--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,12 @@
 //! The rules in force and how they spread between processes.
 
+mod patch;
+
+pub use patch::{
+    apply,
+    patch, //
+};
+
 use std::rc::Rc;
 
 use derive_more::{
@@ -13,7 +20,10 @@
         self,
         Rules, //
     },
-    wire::Version, //
+    wire::{
+        Patch,
+        Version, //
+    }, //
 };
 
 /// Why a text does not come into force.
@@ -109,6 +119,21 @@
         Ok(true)
     }
 
+    /// Brings the text that a patch makes of the text in force into force.
+    ///
+    /// Returns `None` where the patch is of another text; the whole text is needed then.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Store::offer`] does.
+    pub fn offer_patch(&mut self, patch: &Patch) -> Option<Result<bool, Error>> {
+        if patch.base != self.version() {
+            return None;
+        }
+        let text = apply(&self.text, patch)?;
+        Some(self.offer(&text))
+    }
+
     /// Compares with the version that a peer has in force.
     ///
     /// ```
--- a/src/fair/mod.rs
+++ b/src/fair/mod.rs
@@ -15,7 +15,6 @@
 };
 pub use view::{
     REPORT_INTERVAL,
-    REPORT_RETRY,
     View, //
 };
 
--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -393,6 +393,7 @@
         let news = !standings.is_empty() || sequence != answered;
         news.then_some(Totals {
             sequence,
+            interval: EXCHANGE_INTERVAL.as_millis() as u32,
             level: self.level,
             standings,
         })
--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -19,12 +19,8 @@
     }, //
 };
 
-/// The time from the last figures to a sidecar's next report, a little less than the
-/// interval of exchanges, so that the report is in the next one.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
-
-/// The time after which a report without an answer is sent again.
-pub const REPORT_RETRY: Duration = Duration::from_millis(1_500);
+/// The interval of a sidecar's reports until its home router tells another.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The part of what was foreseen that is forgotten at each report.
 const FORESIGHT_DECAY: Usage = 16;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -27,10 +27,7 @@
     }, //
 };
 use crate::{
-    fair::{
-        EXCHANGE_INTERVAL,
-        Table, //
-    },
+    fair::Table,
     ids::{
         self,
         Account,
@@ -427,9 +424,9 @@
             self.flush_done();
         }
         let patience = match self.children().next() {
-            None => EXCHANGE_INTERVAL,
+            None => self.wave_interval(),
             // The wave from below has failed.
-            Some(_) => EXCHANGE_INTERVAL * 2,
+            Some(_) => self.wave_interval() * 2,
         };
         if now >= self.exchanged + patience {
             self.exchange_up(now);
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -1,5 +1,7 @@
 //! Figures exchanged with sidecars and other routers.
 
+use std::time::Duration;
+
 use super::{
     Output,
     Router,
@@ -23,6 +25,15 @@
     }, //
 };
 
+/// The bytes of an account in an exchange.
+const ENTRY_BYTES: usize = 9;
+
+/// The links of a router in the tree: its parent and its children.
+const MAX_TREE_LINKS: usize = 1 + member::FAN_OUT;
+
+/// What exchanges may send and receive a second.
+const WAVE_BYTES_PER_SECOND: u64 = 8_000;
+
 impl Router {
     pub(super) fn observe(&mut self, now: Time, owner: Owner) {
         let waiting = self.queues.len(owner) as u32;
@@ -82,7 +93,7 @@
         }
         self.heard.insert(router);
         let whole = self.children().all(|child| self.heard.contains(&child));
-        if whole && now >= self.exchanged + EXCHANGE_INTERVAL / 2 {
+        if whole && now >= self.exchanged + self.wave_interval() / 2 {
             self.exchange_up(now);
         }
     }
@@ -100,6 +111,17 @@
         peers.filter(move |peer| Some(*peer) != parent)
     }
 
+    /// Returns the interval of waves, longer where many accounts wait, so that what they
+    /// carry stays within a budget.
+    pub(super) fn wave_interval(&self) -> Duration {
+        let tables = self.tables.values();
+        let entries: usize = tables.map(|table| table.backlogged().count()).sum();
+        let links = self.peers.len().min(MAX_TREE_LINKS);
+        let bytes = (entries * ENTRY_BYTES * links * 2) as u64;
+        let needed = Duration::from_millis(bytes * 1_000 / WAVE_BYTES_PER_SECOND);
+        EXCHANGE_INTERVAL.max(needed)
+    }
+
     /// Sends a wave of figures towards the root, or turns it around there.
     pub(super) fn exchange_up(&mut self, now: Time) {
         self.exchanged = now;
@@ -122,12 +144,14 @@
 
     /// Sends a wave of figures towards the leaves of the tree and to sidecars.
     pub(super) fn exchange_down(&mut self, now: Time) {
+        let interval = self.wave_interval().as_millis() as u32;
         let children: Vec<_> = self.children().collect();
         for child in children {
             self.exchange(child);
         }
         for table in self.tables.values_mut() {
-            for (target, totals) in table.all_totals(now) {
+            for (target, mut totals) in table.all_totals(now) {
+                totals.interval = interval;
                 self.outs
                     .push(Output::Send(target, Message::Totals(totals)));
             }
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -77,6 +77,7 @@
     wire::{
         Hello,
         Message,
+        Patch,
         Peer,
         Version, //
     }, //
@@ -208,30 +209,44 @@
 
     /// Brings a rules text into force if it is newer.
     fn offer(&self, text: &str, source: &str) {
+        let old = self.store.borrow().clone();
         let result = self.store.borrow_mut().offer(text);
+        self.adopted(&old, result, source);
+    }
+
+    /// Brings changed rules into force, or asks for the whole text.
+    fn offer_patch(&self, peer: PeerId, patch: &Patch) {
+        let old = self.store.borrow().clone();
+        let result = self.store.borrow_mut().offer_patch(patch);
+        match result {
+            Some(result) => self.adopted(&old, result, "patch"),
+            None => self.send(peer, Message::Fetch),
+        }
+    }
+
+    /// Follows up on a text that was offered.
+    fn adopted(&self, old: &Store, result: Result<bool, config::Error>, source: &str) {
         match result {
             Ok(false) => {}
             Ok(true) => {
-                let version = self.store.borrow().version();
+                let store = self.store.borrow().clone();
+                let version = store.version();
                 self.since.replace((self.clock.now(), version));
-                log::info!(
-                    "event=rules generation={} digest={:016x} source={source}",
-                    version.generation,
-                    version.digest
-                );
+                log_rules(version, source);
                 self.step(Input::Rules(self.rules()));
-                self.announce(version);
+                let patch = config::patch(old.text(), store.text(), old.version());
+                self.announce(&Message::Patch(Rc::new(patch)));
             }
             Err(err) => log_refusal(&err, source),
         }
     }
 
-    fn announce(&self, version: Version) {
+    fn announce(&self, message: &Message) {
         for target in self.sidecars.peers() {
-            self.sidecars.send(target, Message::Heartbeat(version));
+            self.sidecars.send(target, message.clone());
         }
         for router in self.peers.peers() {
-            self.peers.send(router, Message::Heartbeat(version));
+            self.peers.send(router, message.clone());
         }
     }
 
@@ -248,6 +263,7 @@
                 self.send(peer, Message::Rules(text));
             }
             Message::Rules(text) => self.offer(&text, "peer"),
+            Message::Patch(patch) => self.offer_patch(peer, &patch),
             other => return Some(other),
         }
         None
@@ -280,6 +296,15 @@
     }
 }
 
+/// Logs that rules have come into force.
+pub(super) fn log_rules(version: Version, source: &str) {
+    log::info!(
+        "event=rules generation={} digest={:016x} source={source}",
+        version.generation,
+        version.digest
+    );
+}
+
 /// Logs a rules text that does not come into force.
 pub(super) fn log_refusal(err: &config::Error, source: &str) {
     match err {
--- a/src/shell/sidecar.rs
+++ b/src/shell/sidecar.rs
@@ -43,6 +43,7 @@
         TICK_INTERVAL,
         log_down,
         log_refusal,
+        log_rules,
         watch, //
     },
     target::Target,
@@ -50,6 +51,7 @@
 };
 use crate::{
     config::{
+        self,
         Step,
         Store, //
     },
@@ -72,6 +74,7 @@
         Dispatch,
         Hello,
         Message,
+        Patch,
         Peer,
         RequestId,
         Version, //
@@ -143,19 +146,16 @@
         }
     }
 
-    fn offer(self: &Rc<Self>, text: &str) {
-        let result = self.store.borrow_mut().offer(text);
+    /// Follows up on a rules text that was offered.
+    fn adopted(self: &Rc<Self>, result: Result<bool, config::Error>) {
         match result {
             Ok(false) => {}
             Ok(true) => {
                 let version = self.store.borrow().version();
-                log::info!(
-                    "event=rules generation={} digest={:016x} source=peer",
-                    version.generation,
-                    version.digest
-                );
+                log_rules(version, "peer");
                 let rules = self.store.borrow().rules().clone();
                 self.step(Input::Rules(rules));
+                // A router that is behind asks for the text.
                 for router in self.links.peers() {
                     self.links.send(router, Message::Heartbeat(version));
                 }
@@ -164,6 +164,15 @@
         }
     }
 
+    /// Brings changed rules into force, or asks for the whole text.
+    fn patched(self: &Rc<Self>, router: Router, patch: &Patch) {
+        let result = self.store.borrow_mut().offer_patch(patch);
+        match result {
+            Some(result) => self.adopted(result),
+            None => self.links.send(router, Message::Fetch),
+        }
+    }
+
     fn follow(&self, router: Router, version: Version) {
         match self.store.borrow().compare(version) {
             Step::Fetch => self.links.send(router, Message::Fetch),
@@ -183,7 +192,11 @@
                 let text = self.store.borrow().text().to_owned();
                 self.links.send(router, Message::Rules(text));
             }
-            Message::Rules(text) => self.offer(&text),
+            Message::Rules(text) => {
+                let result = self.store.borrow_mut().offer(&text);
+                self.adopted(result);
+            }
+            Message::Patch(patch) => self.patched(router, &patch),
             message => self.step(Input::Message { router, message }),
         }
     }
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -179,6 +179,7 @@
     pub(super) draining: bool,
     pub(super) swept: Time,
     pub(super) due: Time,
+    pub(super) pace: Duration,
     pub(super) sought: Time,
     pub(super) home: Option<Router>,
     pub(super) outs: Vec<Output>,
@@ -210,6 +211,7 @@
             draining: false,
             swept: Time::ZERO,
             due: Time::ZERO,
+            pace: REPORT_INTERVAL,
             sought: Time::ZERO,
             home: None,
             outs: Vec::new(),
@@ -371,7 +373,9 @@
             Message::Query { id, stamp, offset } => self.query(now, router, id, stamp, offset),
             Message::Cancel { id } => self.cancel(now, router, id),
             Message::Totals(totals) if Some(router) == self.home => {
-                self.due = now + REPORT_INTERVAL;
+                // A little before the next figures, so that the report is in them.
+                self.pace = Duration::from_millis(u64::from(totals.interval));
+                self.due = now + self.pace * 4 / 5;
                 self.view.totals(&totals);
             }
             _ => {}
--- a/src/sidecar/sweep.rs
+++ b/src/sidecar/sweep.rs
@@ -9,7 +9,6 @@
     State, //
 };
 use crate::{
-    fair::REPORT_RETRY,
     ids::{
         Account,
         Time,
@@ -95,7 +94,7 @@
         let Some(home) = self.home else {
             return;
         };
-        self.due = now + REPORT_RETRY;
+        self.due = now + self.pace * 3 / 2;
         self.view.decay();
         self.asked
             .retain(|_, asked| now < *asked + INTEREST_INTERVAL);
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -46,6 +46,24 @@
         pub digest: u64,
     }
 
+    /// A change of a run of lines.
+    pub struct Edit {
+        /// The first line that goes, counted from zero.
+        pub line: u32,
+        /// The lines that go.
+        pub removed: u32,
+        /// The lines that come.
+        pub inserted: String,
+    }
+
+    /// The changes from one rules text to the next.
+    pub struct Patch {
+        /// The text that is changed.
+        pub base: Version,
+        /// The changes in order.
+        pub edits: Vec<Edit>,
+    }
+
     /// Who is at the other end of a link.
     #[derive(Copy)]
     pub enum Peer {
@@ -245,6 +263,8 @@
     pub struct Totals {
         /// The last report that is included.
         pub sequence: u64,
+        /// The interval of such messages, in milliseconds.
+        pub interval: u32,
         /// The fleet's virtual time.
         pub level: Usage,
         /// The standings that the sidecar wants.
@@ -280,6 +300,8 @@
         Fetch,
         /// The text of the rules in force.
         Rules(String),
+        /// The changes to the rules that were in force at the sender until now.
+        Patch(Rc<Patch>),
         /// Requests of an account that wait at a router.
         Demand {
             /// The account.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -13,6 +13,7 @@
 pub use message::{
     Bid,
     Dispatch,
+    Edit,
     End,
     Entry,
     Exchange,
@@ -21,6 +22,7 @@
     Hint,
     Message,
     Part,
+    Patch,
     Peer,
     Reason,
     Report,
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -168,3 +168,45 @@
         live.retain(|process| !readers.contains(process));
     }
 }
+
+/// A change of one line among 10,000 travels as less than a packet.
+#[test]
+fn a_small_change_travels_small() {
+    let mut text = "generation 1 # kim\n".to_owned();
+    for i in 0..10_000 {
+        text += &format!("share * account-{i:05} 1 # mei: plan\n");
+    }
+    let new = text
+        .replace("generation 1", "generation 2")
+        .replace("account-05000 1", "account-05000 7");
+    let mut store = Store::default();
+    assert_eq!(store.offer(&text), Ok(true));
+    let patch = redwingyard::config::patch(&text, &new, store.version());
+    let message = redwingyard::wire::Message::Patch(patch.clone().into());
+    let size = redwingyard::wire::encode(&message).len();
+    assert!(size < 200, "{size} bytes");
+    assert_eq!(store.offer_patch(&patch), Some(Ok(true)));
+    assert_eq!(store.text(), new);
+    assert_eq!(store.offer_patch(&patch), None, "it is of another text now");
+}
+
+/// Patches make the new text of the old one, whatever the two are, and never panic.
+#[test]
+fn patches_are_exact() {
+    let mut rng = fastrand::Rng::with_seed(4);
+    for _ in 0..500 {
+        let mut text = || {
+            let lines = (0..rng.usize(..12)).map(|_| format!("{}\n", rng.u32(..5)));
+            lines.collect::<String>()
+        };
+        let (old, new) = (text(), text());
+        let version = redwingyard::wire::Version::default();
+        let mut patch = redwingyard::config::patch(&old, &new, version);
+        let got = redwingyard::config::apply(&old, &patch);
+        assert_eq!(got, Some(new), "{old:?} {patch:?}");
+        for edit in &mut patch.edits {
+            edit.line = edit.line.wrapping_add(rng.u32(..));
+        }
+        let _ = redwingyard::config::apply(&old, &patch);
+    }
+}
--- a/tests/drive/fleet.rs
+++ b/tests/drive/fleet.rs
@@ -15,6 +15,7 @@
 
 use redwingyard::{
     config::{
+        self,
         Step,
         Store, //
     },
@@ -334,11 +335,16 @@
         let Some(store) = self.stores.get_mut(&node) else {
             return;
         };
-        if store.offer(text) != Ok(true) {
-            return;
+        let old = store.clone();
+        if store.offer(text) == Ok(true) {
+            self.adopted(node, &old);
         }
+    }
+
+    /// Follows up on new rules as the shell does.
+    fn adopted(&mut self, node: Node, old: &Store) {
+        let store = self.stores[&node].clone();
         let rules = store.rules().clone();
-        let version = store.version();
         match node {
             Node::Router(i) if self.routers[i].is_some() => {
                 self.router_step(i, router::Input::Rules(rules));
@@ -348,8 +354,14 @@
             }
             _ => {}
         }
+        let patch = config::patch(old.text(), store.text(), old.version());
+        let patch = Rc::new(patch);
         for peer in self.peers(node) {
-            self.send(node, peer, Message::Heartbeat(version));
+            let message = match node {
+                Node::Router(_) => Message::Patch(patch.clone()),
+                Node::Sidecar(_) => Message::Heartbeat(store.version()),
+            };
+            self.send(node, peer, message);
         }
     }
 
@@ -521,6 +533,15 @@
                 self.send(to, from, Message::Rules(text));
             }
             Message::Rules(text) => self.publish(to, &text),
+            Message::Patch(patch) => {
+                let old = self.stores[&to].clone();
+                let store = self.stores.get_mut(&to).expect("the process lives");
+                match store.offer_patch(&patch) {
+                    Some(Ok(true)) => self.adopted(to, &old),
+                    Some(_) => {}
+                    None => self.send(to, from, Message::Fetch),
+                }
+            }
             other => return Some(other),
         }
         None
