--- a/src/cli/verbs.rs
+++ b/src/cli/verbs.rs
@@ -2,7 +2,12 @@
 
 use std::{
     fs,
-    process::ExitCode, //
+    io::Write,
+    process::ExitCode,
+    time::{
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
 };
 
 use compio::runtime::Runtime;
@@ -204,7 +209,14 @@
 
 fn start_logs() {
     let filter = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(filter).init();
+    env_logger::Builder::from_env(filter)
+        .format(|out, record| {
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+            let millis = wall.unwrap_or_default().as_millis();
+            let level = record.level().as_str().to_lowercase();
+            writeln!(out, "time_ms={millis} level={level} {}", record.args())
+        })
+        .init();
 }
 
 async fn stop_signal() -> Result<(), VerbError> {
--- /dev/null
+++ b/tests/capacity.rs
@@ -0,0 +1,54 @@
+//! docs/CAPACITY.md quotes only figures of the committed results file.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::Path, //
+};
+
+fn read(path: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(path);
+    fs::read_to_string(path).expect("the file is there")
+}
+
+/// Returns the slope of each fitted line.
+fn results() -> BTreeMap<String, String> {
+    let text = read("benches/results/capacity.txt");
+    let fits = text.lines().filter(|line| line.starts_with("fit="));
+    fits.map(|line| {
+        let mut fields = BTreeMap::new();
+        for field in line.split(' ') {
+            let (key, value) = field.split_once('=').expect("key=value");
+            fields.insert(key, value.to_owned());
+        }
+        (fields["fit"].clone(), fields["each"].clone())
+    })
+    .collect()
+}
+
+#[test]
+fn quoted_figures_are_those_of_the_results() {
+    let results = results();
+    let page = read("docs/CAPACITY.md");
+    let mut quoted = 0;
+    for code in page.split('`').skip(1).step_by(2) {
+        let Some((name, value)) = code.split_once('=') else {
+            continue;
+        };
+        let measured = results
+            .get(name)
+            .unwrap_or_else(|| panic!("{name} is not measured"));
+        assert_eq!(value, measured, "{name}");
+        quoted += 1;
+    }
+    assert!(quoted >= 15, "only {quoted} figures are quoted");
+}
+
+#[test]
+fn every_slope_has_a_plot_and_a_place_on_the_page() {
+    let page = read("docs/CAPACITY.md");
+    for name in results().keys() {
+        assert!(page.contains(&format!("plots/{name}.svg")), "{name}");
+        assert!(read(&format!("docs/plots/{name}.svg")).contains("<svg"));
+    }
+}
