--- a/benches/fairness/baseline.rs
+++ b/benches/fairness/baseline.rs
@@ -124,24 +124,13 @@
     fn begin(&mut self) {
         self.at(WARM_UP, Event::Sample);
         self.at(Time::ZERO, Event::Reports);
-        for account in 0..self.plan.loads.len() {
-            for router in 0..self.plan.routers {
-                for _ in 0..self.plan.loads[account].callers[router] {
-                    let at = Duration::from_micros(self.rng.u64(500_000..1_000_000));
-                    let again = true;
-                    self.at(
-                        at,
-                        Event::Arrive {
-                            router,
-                            account,
-                            again,
-                        },
-                    );
-                }
-                if self.plan.loads[account].rate[router] > 0.0 {
-                    self.next_arrival(router, account);
-                }
-            }
+        for (at, router, account, again) in self.plan.arrivals(&mut self.rng) {
+            let event = Event::Arrive {
+                router,
+                account,
+                again,
+            };
+            self.at(at, event);
         }
     }
 
@@ -151,9 +140,7 @@
     }
 
     fn next_arrival(&mut self, router: usize, account: usize) {
-        let rate = self.plan.loads[account].rate[router];
-        let gap = -(1.0 - self.rng.f64()).ln() / rate;
-        let at = self.now.max(Duration::from_millis(500)) + Duration::from_secs_f64(gap);
+        let at = self.now + self.plan.gap(&mut self.rng, router, account);
         let again = false;
         self.at(
             at,
--- a/src/shell/admin.rs
+++ b/src/shell/admin.rs
@@ -139,7 +139,7 @@
         "/healthz" => (StatusCode::OK, b"ok\n".to_vec()),
         "/readyz" => {
             let targets = process.core.borrow().targets().count();
-            let rules = process.store.borrow().version().generation > 0;
+            let rules = process.governor.version().generation > 0;
             ready(rules && targets > 0 && !process.is_stopping())
         }
         "/status" => json(&router_status(process)),
@@ -151,8 +151,8 @@
 fn router_status(process: &router::Process) -> RouterStatus {
     let core = process.core.borrow();
     let rules = process.rules();
-    let version = process.store.borrow().version();
-    let since = process.clock.now().saturating_sub(process.since.borrow().0);
+    let version = process.governor.version();
+    let since = process.clock.now().saturating_sub(process.governor.since());
     let behind = process
         .versions
         .borrow()
@@ -197,7 +197,7 @@
 
 fn sidecar_status(process: &sidecar::Process) -> SidecarStatus {
     let core = process.core.borrow();
-    let version = process.store.borrow().version();
+    let version = process.governor.version();
     SidecarStatus {
         name: process.settings.name.clone(),
         service: process.settings.service.clone(),
@@ -220,7 +220,7 @@
 fn router_gauges(process: &router::Process) -> Vec<Gauge> {
     let core = process.core.borrow();
     let rules = process.rules();
-    let generation = process.store.borrow().version().generation as i64;
+    let generation = process.governor.version().generation as i64;
     let counters = &process.counters;
     let mut gauges = vec![
         (
@@ -275,7 +275,7 @@
 
 fn sidecar_gauges(process: &sidecar::Process) -> Vec<Gauge> {
     let core = process.core.borrow();
-    let generation = process.store.borrow().version().generation as i64;
+    let generation = process.governor.version().generation as i64;
     let counters = &process.counters;
     vec![
         (
--- /dev/null
+++ b/src/shell/governor.rs
@@ -0,0 +1,158 @@
+//! The rules of a process: how they come into force and spread to its peers.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc, //
+};
+
+use super::Clock;
+use crate::{
+    config::{
+        self,
+        Step,
+        Store, //
+    },
+    ids::Time,
+    rules::Rules,
+    wire::{
+        Message,
+        Patch,
+        Version, //
+    }, //
+};
+
+/// Rules that have just come into force.
+pub(super) struct Adopted {
+    pub(super) rules: Rc<Rules>,
+    pub(super) version: Version,
+    /// What changed, for peers that had the same rules before.
+    pub(super) patch: Rc<Patch>,
+}
+
+/// What follows from a peer's message.
+pub(super) enum Governed {
+    /// It is not about rules.
+    Pass(Message),
+    /// Send an answer to the peer.
+    Answer(Message),
+    /// Other rules are in force.
+    Adopted(Adopted),
+    /// Nothing.
+    Done,
+}
+
+/// Holds the rules in force and speaks with peers about them.
+#[derive(Debug, Default)]
+pub(super) struct Governor {
+    store: RefCell<Store>,
+    since: Cell<Time>,
+}
+
+impl Governor {
+    /// Returns the rules in force.
+    pub(super) fn rules(&self) -> Rc<Rules> {
+        self.store.borrow().rules().clone()
+    }
+
+    /// Returns the version in force.
+    pub(super) fn version(&self) -> Version {
+        self.store.borrow().version()
+    }
+
+    /// Returns when the rules came into force.
+    pub(super) fn since(&self) -> Time {
+        self.since.get()
+    }
+
+    /// Offers a text and returns what came into force.
+    pub(super) fn offer(&self, clock: &Clock, text: &str, source: &str) -> Option<Adopted> {
+        let old = self.store.borrow().clone();
+        let result = self.store.borrow_mut().offer(text);
+        self.adopt(clock, &old, result, source)
+    }
+
+    /// Handles a peer's message.
+    pub(super) fn handle(&self, clock: &Clock, message: Message) -> Governed {
+        match message {
+            Message::Heartbeat(version) => self.compare(version),
+            Message::Fetch => {
+                let text = self.store.borrow().text().to_owned();
+                Governed::Answer(Message::Rules(text))
+            }
+            Message::Rules(text) => done(self.offer(clock, &text, "peer")),
+            Message::Patch(patch) => {
+                let old = self.store.borrow().clone();
+                let result = self.store.borrow_mut().offer_patch(&patch);
+                match result {
+                    Some(result) => done(self.adopt(clock, &old, result, "patch")),
+                    None => Governed::Answer(Message::Fetch),
+                }
+            }
+            other => Governed::Pass(other),
+        }
+    }
+
+    fn compare(&self, version: Version) -> Governed {
+        match self.store.borrow().compare(version) {
+            Step::Fetch => Governed::Answer(Message::Fetch),
+            Step::Conflict => {
+                log::error!("event=rules-conflict {}", fields(version));
+                Governed::Done
+            }
+            Step::Same | Step::Wait => Governed::Done,
+        }
+    }
+
+    fn adopt(
+        &self,
+        clock: &Clock,
+        old: &Store,
+        result: Result<bool, config::Error>,
+        source: &str,
+    ) -> Option<Adopted> {
+        match result {
+            Ok(false) => None,
+            Ok(true) => {
+                let store = self.store.borrow();
+                let version = store.version();
+                self.since.set(clock.now());
+                log::info!("event=rules {} source={source}", fields(version));
+                let patch = config::patch(old.text(), store.text(), old.version());
+                Some(Adopted {
+                    rules: store.rules().clone(),
+                    version,
+                    patch: Rc::new(patch),
+                })
+            }
+            Err(err) => {
+                log_refusal(&err, source);
+                None
+            }
+        }
+    }
+}
+
+fn done(adopted: Option<Adopted>) -> Governed {
+    adopted.map_or(Governed::Done, Governed::Adopted)
+}
+
+fn fields(version: Version) -> String {
+    format!(
+        "generation={} digest={:016x}",
+        version.generation, version.digest
+    )
+}
+
+/// Logs a rules text that does not come into force.
+fn log_refusal(err: &config::Error, source: &str) {
+    if let config::Error::Older { .. } = err {
+        log::info!("event=rules-older source={source} error=\"{err}\"");
+        return;
+    }
+    for line in err.to_string().lines() {
+        log::error!("event=rules-refused source={source} error=\"{line}\"");
+    }
+}
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod fields;
 mod front;
+mod governor;
 mod link;
 mod platform;
 mod problem;
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -40,6 +40,11 @@
     Vm,
     admin,
     front,
+    governor::{
+        Adopted,
+        Governed,
+        Governor, //
+    },
     link::{
         self,
         Context,
@@ -51,11 +56,6 @@
     tls, //
 };
 use crate::{
-    config::{
-        self,
-        Step,
-        Store, //
-    },
     ids::{
         self,
         Incarnation,
@@ -77,7 +77,6 @@
     wire::{
         Hello,
         Message,
-        Patch,
         Peer,
         Version, //
     }, //
@@ -112,8 +111,7 @@
     pub(super) settings: RouterSettings,
     pub(super) clock: Rc<Clock>,
     pub(super) core: RefCell<Router>,
-    pub(super) store: RefCell<Store>,
-    pub(super) since: RefCell<(Duration, Version)>,
+    pub(super) governor: Governor,
     pub(super) versions: RefCell<BTreeMap<PeerId, Version>>,
     pub(super) counters: Rc<Counters>,
     pub(super) vms: RefCell<Vec<Vm>>,
@@ -148,7 +146,7 @@
 
 impl Process {
     pub(super) fn rules(&self) -> Rc<Rules> {
-        self.store.borrow().rules().clone()
+        self.governor.rules()
     }
 
     /// Takes a request in and returns where its answer arrives.
@@ -207,41 +205,16 @@
         }
     }
 
-    /// Brings a rules text into force if it is newer.
-    fn offer(&self, text: &str, source: &str) {
-        let old = self.store.borrow().clone();
-        let result = self.store.borrow_mut().offer(text);
-        self.adopted(&old, result, source);
-    }
-
-    /// Brings changed rules into force, or asks for the whole text.
-    fn offer_patch(&self, peer: PeerId, patch: &Patch) {
-        let old = self.store.borrow().clone();
-        let result = self.store.borrow_mut().offer_patch(patch);
-        match result {
-            Some(result) => self.adopted(&old, result, "patch"),
-            None => self.send(peer, Message::Fetch),
+    /// Offers a rules text that the configuration service has published.
+    fn offer(&self, text: &str) {
+        if let Some(adopted) = self.governor.offer(&self.clock, text, "service") {
+            self.adopted(adopted);
         }
     }
 
-    /// Follows up on a text that was offered.
-    fn adopted(&self, old: &Store, result: Result<bool, config::Error>, source: &str) {
-        match result {
-            Ok(false) => {}
-            Ok(true) => {
-                let store = self.store.borrow().clone();
-                let version = store.version();
-                self.since.replace((self.clock.now(), version));
-                log_rules(version, source);
-                self.step(Input::Rules(self.rules()));
-                let patch = config::patch(old.text(), store.text(), old.version());
-                self.announce(&Message::Patch(Rc::new(patch)));
-            }
-            Err(err) => log_refusal(&err, source),
-        }
-    }
-
-    fn announce(&self, message: &Message) {
+    fn adopted(&self, adopted: Adopted) {
+        self.step(Input::Rules(adopted.rules));
+        let message = Message::Patch(adopted.patch);
         for target in self.sidecars.peers() {
             self.sidecars.send(target, message.clone());
         }
@@ -252,33 +225,16 @@
 
     /// Handles messages about rules; returns any other message.
     fn govern(&self, peer: PeerId, message: Message) -> Option<Message> {
-        match message {
-            Message::Heartbeat(version) => {
-                self.versions.borrow_mut().insert(peer, version);
-                let step = self.store.borrow().compare(version);
-                self.follow(peer, step, version);
-            }
-            Message::Fetch => {
-                let text = self.store.borrow().text().to_owned();
-                self.send(peer, Message::Rules(text));
-            }
-            Message::Rules(text) => self.offer(&text, "peer"),
-            Message::Patch(patch) => self.offer_patch(peer, &patch),
-            other => return Some(other),
+        if let Message::Heartbeat(version) = message {
+            self.versions.borrow_mut().insert(peer, version);
         }
-        None
-    }
-
-    fn follow(&self, peer: PeerId, step: Step, version: Version) {
-        match step {
-            Step::Fetch => self.send(peer, Message::Fetch),
-            Step::Conflict => log::error!(
-                "event=rules-conflict generation={} digest={:016x}",
-                version.generation,
-                version.digest
-            ),
-            Step::Same | Step::Wait => {}
+        match self.governor.handle(&self.clock, message) {
+            Governed::Pass(message) => return Some(message),
+            Governed::Answer(message) => self.send(peer, message),
+            Governed::Adopted(adopted) => self.adopted(adopted),
+            Governed::Done => {}
         }
+        None
     }
 
     fn send(&self, peer: PeerId, message: Message) {
@@ -296,27 +252,6 @@
     }
 }
 
-/// Logs that rules have come into force.
-pub(super) fn log_rules(version: Version, source: &str) {
-    log::info!(
-        "event=rules generation={} digest={:016x} source={source}",
-        version.generation,
-        version.digest
-    );
-}
-
-/// Logs a rules text that does not come into force.
-pub(super) fn log_refusal(err: &config::Error, source: &str) {
-    match err {
-        config::Error::Older { .. } => log::info!("event=rules-older source={source} {err}"),
-        err => {
-            for line in err.to_string().lines() {
-                log::error!("event=rules-refused source={source} error=\"{line}\"");
-            }
-        }
-    }
-}
-
 impl RouterProcess {
     /// Starts a router on the current thread's runtime.
     ///
@@ -345,8 +280,7 @@
             settings,
             clock,
             core: RefCell::new(core),
-            store: RefCell::default(),
-            since: RefCell::default(),
+            governor: Governor::default(),
             versions: RefCell::default(),
             counters: Rc::default(),
             vms: RefCell::default(),
@@ -397,7 +331,7 @@
 
     /// Returns the generation in force, or zero.
     pub fn generation(&self) -> ids::Generation {
-        self.process.store.borrow().version().generation
+        self.process.governor.version().generation
     }
 
     /// Returns the number of linked sidecars.
@@ -437,7 +371,7 @@
         hello: Rc::new(move || Hello {
             peer: Peer::Router { router: hello.me },
             incarnation: hello.incarnation,
-            version: hello.store.borrow().version(),
+            version: hello.governor.version(),
         }),
     }
 }
@@ -553,12 +487,10 @@
     let reader = process.clone();
     let wanted = move || {
         let routers = reader.routers();
-        let first = reader.store.borrow().version().generation == 0;
+        let first = reader.governor.version().generation == 0;
         first || member::is_reader(reader.me, &routers, member::READERS)
     };
-    watch
-        .run(wanted, |text| process.offer(&text, "service"))
-        .await;
+    watch.run(wanted, |text| process.offer(&text)).await;
 }
 
 async fn read_vms(process: Rc<Process>, watch: Watch) {
--- a/src/shell/sidecar.rs
+++ b/src/shell/sidecar.rs
@@ -30,6 +30,11 @@
     Clock,
     Vm,
     admin,
+    governor::{
+        Adopted,
+        Governed,
+        Governor, //
+    },
     link::{
         self,
         Context,
@@ -42,19 +47,12 @@
         StartError,
         TICK_INTERVAL,
         log_down,
-        log_refusal,
-        log_rules,
         watch, //
     },
     target::Target,
     tls, //
 };
 use crate::{
-    config::{
-        self,
-        Step,
-        Store, //
-    },
     ids::{
         self,
         Incarnation,
@@ -74,10 +72,8 @@
         Dispatch,
         Hello,
         Message,
-        Patch,
         Peer,
-        RequestId,
-        Version, //
+        RequestId, //
     }, //
 };
 
@@ -92,7 +88,7 @@
     pub(super) settings: SidecarSettings,
     pub(super) clock: Rc<Clock>,
     pub(super) core: RefCell<Sidecar>,
-    pub(super) store: RefCell<Store>,
+    pub(super) governor: Governor,
     pub(super) counters: Rc<Counters>,
     vms: RefCell<Vec<Vm>>,
     incarnation: Incarnation,
@@ -146,58 +142,21 @@
         }
     }
 
-    /// Follows up on a rules text that was offered.
-    fn adopted(self: &Rc<Self>, result: Result<bool, config::Error>) {
-        match result {
-            Ok(false) => {}
-            Ok(true) => {
-                let version = self.store.borrow().version();
-                log_rules(version, "peer");
-                let rules = self.store.borrow().rules().clone();
-                self.step(Input::Rules(rules));
-                // A router that is behind asks for the text.
-                for router in self.links.peers() {
-                    self.links.send(router, Message::Heartbeat(version));
-                }
-            }
-            Err(err) => log_refusal(&err, "peer"),
-        }
-    }
-
-    /// Brings changed rules into force, or asks for the whole text.
-    fn patched(self: &Rc<Self>, router: Router, patch: &Patch) {
-        let result = self.store.borrow_mut().offer_patch(patch);
-        match result {
-            Some(result) => self.adopted(result),
-            None => self.links.send(router, Message::Fetch),
-        }
-    }
-
-    fn follow(&self, router: Router, version: Version) {
-        match self.store.borrow().compare(version) {
-            Step::Fetch => self.links.send(router, Message::Fetch),
-            Step::Conflict => log::error!(
-                "event=rules-conflict generation={} digest={:016x}",
-                version.generation,
-                version.digest
-            ),
-            Step::Same | Step::Wait => {}
+    fn message(self: &Rc<Self>, router: Router, message: Message) {
+        match self.governor.handle(&self.clock, message) {
+            Governed::Pass(message) => self.step(Input::Message { router, message }),
+            Governed::Answer(message) => self.links.send(router, message),
+            Governed::Adopted(adopted) => self.adopted(adopted),
+            Governed::Done => {}
         }
     }
 
-    fn message(self: &Rc<Self>, router: Router, message: Message) {
-        match message {
-            Message::Heartbeat(version) => self.follow(router, version),
-            Message::Fetch => {
-                let text = self.store.borrow().text().to_owned();
-                self.links.send(router, Message::Rules(text));
-            }
-            Message::Rules(text) => {
-                let result = self.store.borrow_mut().offer(&text);
-                self.adopted(result);
-            }
-            Message::Patch(patch) => self.patched(router, &patch),
-            message => self.step(Input::Message { router, message }),
+    fn adopted(self: &Rc<Self>, adopted: Adopted) {
+        self.step(Input::Rules(adopted.rules));
+        // A router that is behind asks for the text.
+        for router in self.links.peers() {
+            let message = Message::Heartbeat(adopted.version);
+            self.links.send(router, message);
         }
     }
 
@@ -247,7 +206,7 @@
             settings,
             clock,
             core: RefCell::new(core),
-            store: RefCell::default(),
+            governor: Governor::default(),
             counters: Rc::default(),
             vms: RefCell::default(),
             incarnation,
@@ -294,7 +253,7 @@
 
     /// Returns the generation in force, or zero.
     pub fn generation(&self) -> ids::Generation {
-        self.process.store.borrow().version().generation
+        self.process.governor.version().generation
     }
 }
 
@@ -346,7 +305,7 @@
                 service: id(&hello.settings.service),
             },
             incarnation: hello.incarnation,
-            version: hello.store.borrow().version(),
+            version: hello.governor.version(),
         }),
     }
 }
@@ -397,7 +356,7 @@
         router,
         incarnation,
     });
-    process.follow(router, link.hello.version);
+    process.message(router, Message::Heartbeat(link.hello.version));
     let ours = process.clone();
     let take = |message| {
         if ours.links.is_current(router, serial) {
--- a/tests/drive/plan.rs
+++ b/tests/drive/plan.rs
@@ -14,6 +14,9 @@
 /// The one service of a drive.
 pub const SERVICE: &str = "svc";
 
+/// The time of the first arrival.
+const FIRST_ARRIVAL: Duration = Duration::from_millis(500);
+
 /// The callers of one account.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -96,6 +99,31 @@
         }
     }
 
+    /// Returns the first arrivals, each with its time, router, account and whether its
+    /// caller asks again once it is answered.
+    pub fn arrivals(&self, rng: &mut fastrand::Rng) -> Vec<(Time, usize, usize, bool)> {
+        let mut arrivals = Vec::new();
+        for (account, load) in self.loads.iter().enumerate() {
+            for router in 0..self.routers {
+                for _ in 0..load.callers[router] {
+                    let at = Duration::from_micros(rng.u64(500_000..1_000_000));
+                    arrivals.push((at, router, account, true));
+                }
+                if load.rate[router] > 0.0 {
+                    let at = FIRST_ARRIVAL + self.gap(rng, router, account);
+                    arrivals.push((at, router, account, false));
+                }
+            }
+        }
+        arrivals
+    }
+
+    /// Returns the time to the next arrival of callers who ask once.
+    pub fn gap(&self, rng: &mut fastrand::Rng, router: usize, account: usize) -> Duration {
+        let rate = self.loads[account].rate[router];
+        Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate)
+    }
+
     /// Returns the cost of a call, which only the target knows.
     pub fn cost(&self, call: usize, account: usize) -> Duration {
         let load = &self.loads[account];
