--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -417,3 +417,42 @@
     assert_eq!(output.status.code(), Some(case.code));
     assert_eq!(String::from_utf8_lossy(&output.stderr), case.error);
 }
+
+/// A token stands for its account, and for no other.
+#[test]
+fn tokens_stand_for_accounts() {
+    let net = Net::start();
+    let mut settings = fleet::router_settings("router-9", &net.keys, &net.platform);
+    settings
+        .tokens
+        .insert("secret".to_owned(), "stall-1".to_owned());
+    let router = fleet::router(settings);
+    let http = router.addresses.http;
+    let known = (0..500).any(|_| {
+        thread::sleep(Duration::from_millis(10));
+        get(http, "/nothing/a", &[("authorization", "Bearer secret")]).status == 404
+    });
+    assert!(known, "the router has no rules");
+    let wait = ("x-timeout-ms", "50");
+    let cases = [
+        (vec![wait], 401),
+        (vec![wait, ACCOUNT], 401),
+        (vec![wait, ("authorization", "Bearer wrong")], 401),
+        (
+            vec![
+                wait,
+                ("authorization", "Bearer secret"),
+                ("x-account", "stall-2"),
+            ],
+            401,
+        ),
+        // No sidecar knows this router, so a good token waits and is refused as not run.
+        (vec![wait, ("authorization", "Bearer secret")], 503),
+        (vec![wait, ("authorization", "Bearer secret"), ACCOUNT], 503),
+    ];
+    for (fields, status) in cases {
+        let answer = get(http, "/shop/a", &fields);
+        assert_eq!(answer.status, status, "{fields:?}");
+        assert_eq!(answer.ran().as_deref(), Some("no"));
+    }
+}
