Draw the service of each account over time

Cause: figures of fairness say little to people who look at a plot first. Change: the fairness bench draws service over share by account for a scenario.

--- a/benches/fairness/main.rs
+++ b/benches/fairness/main.rs
@@ -6,6 +6,7 @@
 
 mod baseline;
 mod bounds;
+mod plot;
 mod scenario;
 
 #[path = "../../tests/drive/mod.rs"]
@@ -33,8 +34,8 @@
 const WARM_UP: Duration = Duration::from_secs(15);
 
 fn main() -> ExitCode {
-    // Cargo passes `--bench`; `--alone` leaves the baselines out, and any other word
-    // selects scenarios by name.
+    // Cargo passes `--bench`; `--alone` leaves the baselines out, `--plot` only draws
+    // service over time, and any other word selects scenarios by name.
     let only: Vec<_> = std::env::args()
         .skip(1)
         .filter(|arg| !arg.starts_with("--"))
@@ -44,6 +45,10 @@
             .all(|word| scenario.name.contains(word.as_str()))
     };
     let scenarios: Vec<_> = scenario::all().into_iter().filter(chosen).collect();
+    if std::env::args().any(|arg| arg == "--plot") {
+        scenarios.iter().for_each(plot::write);
+        return ExitCode::SUCCESS;
+    }
     let missed = measure_all(&scenarios);
     println!("bounds_missed={missed}");
     match missed {
