Keep newborn processes from sending whole files as patches, and poll

A process that had no rules took its first text as a change of the empty one and sent all of it to every peer. Waves were ruled out, as their interval was unchanged. While reading: if all six readers failed, nobody read new rules. Change: a process that had no rules tells peers its version only; routers that do not watch the service read it every 15 s; the status page names who is behind.

--- a/src/shell/admin.rs
+++ b/src/shell/admin.rs
@@ -33,6 +33,7 @@
     body::Body,
     router::{
         self,
+        PeerId,
         TICK_INTERVAL, //
     },
     sidecar, //
@@ -158,7 +159,10 @@
         .borrow()
         .iter()
         .filter(|(_, other)| **other != version)
-        .map(|(peer, _)| format!("{peer:?}"))
+        .map(|(peer, _)| match peer {
+            PeerId::Router(router) => format!("router {router:08x}"),
+            PeerId::Sidecar(target) => format!("sidecar of {}", rules.name(*target)),
+        })
         .collect();
     let backlog = core.backlog().map(|((service, account), waiting)| Backlog {
         service: rules.name(service).to_string(),
--- a/src/shell/governor.rs
+++ b/src/shell/governor.rs
@@ -28,8 +28,19 @@
 pub(super) struct Adopted {
     pub(super) rules: Rc<Rules>,
     pub(super) version: Version,
-    /// What changed, for peers that had the same rules before.
-    pub(super) patch: Rc<Patch>,
+    /// What changed, for peers that had the same rules before; none at a process that
+    /// had no rules, whose peers ask for the text if they are behind.
+    pub(super) patch: Option<Rc<Patch>>,
+}
+
+impl Adopted {
+    /// Returns what to tell peers.
+    pub(super) fn notice(&self) -> Message {
+        match &self.patch {
+            Some(patch) => Message::Patch(patch.clone()),
+            None => Message::Heartbeat(self.version),
+        }
+    }
 }
 
 /// What follows from a peer's message.
@@ -120,11 +131,12 @@
                 let version = store.version();
                 self.since.set(clock.now());
                 log::info!("event=rules {} source={source}", fields(version));
-                let patch = config::patch(old.text(), store.text(), old.version());
+                let known = old.version().generation > 0;
+                let patch = || config::patch(old.text(), store.text(), old.version());
                 Some(Adopted {
                     rules: store.rules().clone(),
                     version,
-                    patch: Rc::new(patch),
+                    patch: known.then(|| Rc::new(patch())),
                 })
             }
             Err(err) => {
--- a/src/shell/platform.rs
+++ b/src/shell/platform.rs
@@ -28,6 +28,9 @@
 /// The time after which a watch without an answer is given up.
 const WATCH_LIMIT: Duration = Duration::from_secs(WATCH_SECONDS + 5);
 
+/// The interval at which a process that does not watch reads nevertheless.
+const POLL_INTERVAL: Duration = Duration::from_secs(15);
+
 /// The pause after a failed or unchanged call.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -82,9 +85,19 @@
     }
 
     /// Waits until the value changes; `None` where it has not.
-    pub(super) async fn next(&mut self) -> Result<Option<String>, ReadError> {
-        let (url, index) = (&self.url, self.index);
-        let url = format!("{url}?raw&index={index}&wait={WATCH_SECONDS}s");
+    async fn next(&mut self) -> Result<Option<String>, ReadError> {
+        let index = self.index;
+        self.read(&format!("&index={index}&wait={WATCH_SECONDS}s"))
+            .await
+    }
+
+    /// Reads the value at once; `None` where it has not changed.
+    async fn poll(&mut self) -> Result<Option<String>, ReadError> {
+        self.read("").await
+    }
+
+    async fn read(&mut self, query: &str) -> Result<Option<String>, ReadError> {
+        let url = format!("{}?raw{query}", self.url);
         let call = async {
             let response = self.client.get(url)?.send().await?;
             let status = response.status().as_u16();
@@ -104,14 +117,22 @@
         Ok(changed.then_some(text))
     }
 
-    /// Hands on each new value while `wanted`.
+    /// Hands on each new value: at once while `wanted`, else at every [`POLL_INTERVAL`],
+    /// so that changes arrive though all those that watch may have failed.
     pub(super) async fn run(mut self, wanted: impl Fn() -> bool, mut take: impl FnMut(String)) {
+        let mut idle = Duration::ZERO;
         loop {
-            if !wanted() {
+            if !wanted() && idle < POLL_INTERVAL {
                 sleep(RETRY_PAUSE).await;
+                idle += RETRY_PAUSE;
                 continue;
             }
-            match self.next().await {
+            let result = match wanted() {
+                true => self.next().await,
+                false => self.poll().await,
+            };
+            idle = Duration::ZERO;
+            match result {
                 Ok(Some(text)) => {
                     take(text);
                     if self.index == 0 {
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -85,7 +85,7 @@
 /// The interval of a process's timers.
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The time that a peer must have been silent for its place as a reader to pass on.
+/// The pause before a parent is looked for again.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
 
 /// The largest head of a request, in bytes.
@@ -213,8 +213,8 @@
     }
 
     fn adopted(&self, adopted: Adopted) {
+        let message = adopted.notice();
         self.step(Input::Rules(adopted.rules));
-        let message = Message::Patch(adopted.patch);
         for target in self.sidecars.peers() {
             self.sidecars.send(target, message.clone());
         }
--- a/tests/drive/fleet.rs
+++ b/tests/drive/fleet.rs
@@ -345,8 +345,8 @@
         let patch = Rc::new(patch);
         for peer in self.peers(node) {
             let message = match node {
-                Node::Router(_) => Message::Patch(patch.clone()),
-                Node::Sidecar(_) => Message::Heartbeat(store.version()),
+                Node::Router(_) if old.version().generation > 0 => Message::Patch(patch.clone()),
+                _ => Message::Heartbeat(store.version()),
             };
             self.send(node, peer, message);
         }
