Share the set-up of a fleet's surroundings

Cause: the demonstration, two benches and the socket tests each started their own platform and made their own keys. Change: fleet::surroundings does it for all four. No behaviour changes. Conclusion: a change of the stand-in platform is made once.

--- a/benches/capacity/links.rs
+++ b/benches/capacity/links.rs
@@ -16,18 +16,13 @@
     settings::Keys,
     shell::{
         RouterProcess,
-        SidecarProcess,
-        generate, //
+        SidecarProcess, //
     }, //
 };
 
-use super::standin::{
-    fleet,
-    fleet::on_thread,
-    platform::{
-        self,
-        Values, //
-    }, //
+use super::standin::fleet::{
+    self,
+    Surroundings, //
 };
 
 /// The time over which traffic is counted.
@@ -62,16 +57,11 @@
 }
 
 fn measure(links: usize) -> Cost {
-    let values = Values::default();
-    values.set("rules", "generation 1 # kim\ntarget svc t # kim\n");
-    values.set("vms", "[]");
-    let service = values.clone();
-    let address = on_thread(move |sender| async move {
-        let _ = sender.send(platform::serve(service).await);
-        std::future::pending::<()>().await;
-    });
-    let keys = generate(&["bench"]).expect("keys can be made").remove(0);
-    let platform = fleet::platform(address);
+    let Surroundings {
+        values,
+        platform,
+        keys,
+    } = fleet::surroundings("generation 1 # kim\ntarget svc t # kim\n");
     let settings = fleet::router_settings("router-0", &keys, &platform);
     let (sender, results) = std::sync::mpsc::channel();
     let linked = move |router: &RouterProcess| router.sidecars() >= links;
--- a/benches/latency/main.rs
+++ b/benches/latency/main.rs
@@ -24,21 +24,17 @@
 };
 use futures_util::future::join_all;
 use hdrhistogram::Histogram;
-use redwingyard::shell::generate;
 use standin::{
     client::Client,
     fleet::{
         self,
         Handle,
+        Surroundings,
         on_thread, //
     },
     plain::{
         self,
         Writes, //
-    },
-    platform::{
-        self,
-        Values, //
     }, //
 };
 
@@ -62,14 +58,11 @@
 }
 
 fn start() -> Net {
-    let values = Values::default();
-    values.set("rules", RULES);
-    values.set("vms", "[]");
-    let service = values.clone();
-    let address = on_thread(move |sender| async move {
-        let _ = sender.send(platform::serve(service).await);
-        std::future::pending::<()>().await;
-    });
+    let Surroundings {
+        values,
+        platform,
+        keys,
+    } = fleet::surroundings(RULES);
     let targets: Vec<SocketAddr> = (0..4)
         .map(|_| {
             on_thread(|sender| async move {
@@ -78,8 +71,6 @@
             })
         })
         .collect();
-    let platform = fleet::platform(address);
-    let keys = generate(&["bench"]).expect("keys can be made").remove(0);
     let router = fleet::router(fleet::router_settings("router-0", &keys, &platform));
     fleet::publish_vms(&values, &[("router-0", router.addresses.link)]);
     let sidecar = |(i, target): (usize, &SocketAddr)| {
--- a/examples/local/main.rs
+++ b/examples/local/main.rs
@@ -14,7 +14,6 @@
     time::Duration, //
 };
 
-use redwingyard::shell::generate;
 use standin::{
     engine::{
         self,
@@ -23,15 +22,12 @@
     fleet::{
         self,
         Handle,
+        Surroundings,
         on_thread, //
     },
     plain::{
         self,
         Writes, //
-    },
-    platform::{
-        self,
-        Values, //
     }, //
 };
 
@@ -63,16 +59,11 @@
 }
 
 fn start() -> Local {
-    let values = Values::default();
-    values.set("rules", RULES);
-    values.set("vms", "[]");
-    let service = values.clone();
-    let address = on_thread(move |sender| async move {
-        let _ = sender.send(platform::serve(service).await);
-        std::future::pending::<()>().await;
-    });
-    let platform = fleet::platform(address);
-    let keys = generate(&["local"]).expect("keys can be made").remove(0);
+    let Surroundings {
+        values,
+        platform,
+        keys,
+    } = fleet::surroundings(RULES);
     let names = ["router-1", "router-2"];
     let router = |name: &&str| fleet::router(fleet::router_settings(name, &keys, &platform));
     let routers: Vec<_> = names.iter().map(router).collect();
--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -22,11 +22,15 @@
     shell::{
         RouterProcess,
         SidecarProcess,
-        Vm, //
+        Vm,
+        generate, //
     }, //
 };
 
-use super::platform::Values;
+use super::platform::{
+    self,
+    Values, //
+};
 
 /// What a process can be told.
 enum Order {
@@ -104,13 +108,37 @@
 }
 
 /// The platform that a fleet reads.
-pub fn platform(address: SocketAddr) -> Platform {
+fn published(address: SocketAddr) -> Platform {
     Platform {
         rules: format!("http://{address}/v1/kv/rules"),
         vms: format!("http://{address}/v1/kv/vms"),
     }
 }
 
+/// The platform of a fleet, and the keys that its processes share.
+pub struct Surroundings {
+    pub values: Values,
+    pub platform: Platform,
+    pub keys: Keys,
+}
+
+/// Starts a platform that publishes `rules` and an empty VM list.
+pub fn surroundings(rules: &str) -> Surroundings {
+    let values = Values::default();
+    values.set("rules", rules);
+    values.set("vms", "[]");
+    let service = values.clone();
+    let address = on_thread(move |sender| async move {
+        let _ = sender.send(platform::serve(service).await);
+        std::future::pending::<()>().await;
+    });
+    Surroundings {
+        values,
+        platform: published(address),
+        keys: generate(&["fleet"]).expect("keys can be made").remove(0),
+    }
+}
+
 /// Returns a router's settings.
 pub fn router_settings(name: &str, keys: &Keys, platform: &Platform) -> RouterSettings {
     RouterSettings {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -33,16 +33,14 @@
     fleet::{
         self,
         Handle,
+        Surroundings,
         on_thread, //
     },
     plain::{
         self,
         Writes, //
     },
-    platform::{
-        self,
-        Values, //
-    }, //
+    platform::Values, //
 };
 
 const RULES: &str = "\
@@ -68,20 +66,21 @@
 
 impl Net {
     fn start() -> Self {
-        let values = Values::default();
-        values.set("rules", RULES);
-        values.set("vms", "[]");
+        let Surroundings {
+            values,
+            platform,
+            keys,
+        } = fleet::surroundings(RULES);
         let writes = Writes::default();
-        let (service, counted) = (values.clone(), writes.clone());
-        let (address, targets) = on_thread(move |sender| async move {
-            let address = platform::serve(service).await;
+        let counted = writes.clone();
+        let targets = on_thread(move |sender| async move {
             let mut targets = Vec::new();
             for _ in 0..2 {
                 targets.push(plain::serve(Duration::from_millis(2), counted.clone()).await);
             }
             let token = Duration::from_millis(5);
             targets.push(engine::serve(Engine { token, most: 40 }).await);
-            let _ = sender.send((address, targets));
+            let _ = sender.send(targets);
             std::future::pending::<()>().await;
         });
         let names = [("shop-1", "shop"), ("shop-2", "shop"), ("sizer-1", "sizer")];
@@ -90,8 +89,8 @@
             .map(|((name, service), target)| ((*name).to_owned(), (*service).to_owned(), target));
         let mut net = Self {
             values,
-            keys: generate(&["test"]).expect("keys can be made").remove(0),
-            platform: fleet::platform(address),
+            keys,
+            platform,
             routers: Vec::new(),
             sidecars: Vec::new(),
             targets: targets.collect(),
