Remove what nothing reads, and charge and count in one place

Cause: a read of the whole change found a field on the wire that no sidecar uses (the time left of a dispatch), an acknowledged flag, four accessors and a counter that nothing reads, two copies of the charge of a run and of the link gauges, and a count of all backlogs at each of a router's fifty ticks a second. Change: the dead parts go; Sidecar::charge and link_gauges serve both places; a router counts backlogs only once a wave could be due. Behaviour stays.

--- a/benches/capacity/slopes.rs
+++ b/benches/capacity/slopes.rs
@@ -417,7 +417,6 @@
         generation: 1,
         head: Rc::new(head(0)),
         body: Bytes::new(),
-        left: 1_000,
     }
 }
 
--- a/src/fair/table.rs
+++ b/src/fair/table.rs
@@ -335,23 +335,6 @@
         }
     }
 
-    /// Returns the bytes of state that the table keeps, without allocator overhead.
-    pub fn size(&self) -> usize {
-        let pair = size_of::<(Account, Usage)>();
-        let edges: usize = self
-            .edges
-            .values()
-            .map(|edge| edge.out.len() * (pair + size_of::<u64>()) + edge.seen.len() * pair)
-            .sum();
-        let leaves: usize = self
-            .leaves
-            .values()
-            .map(|leaf| (leaf.interest.len() + leaf.told.len()) * pair)
-            .sum();
-        let backlogs = self.backlogs.len() * size_of::<Backlog>();
-        self.usage.len() * pair + edges + leaves + backlogs
-    }
-
     /// Returns the backlogged accounts with the least service.
     fn least(&self) -> Vec<Account> {
         let mut least: Vec<_> = self.backlogged().collect();
--- a/src/fair/view.rs
+++ b/src/fair/view.rs
@@ -194,21 +194,11 @@
         self.level = self.level.max(totals.level);
     }
 
-    /// Starts again with another home router, whose figures replace the old ones.
+    /// Forgets what the last home router told of backlogs; figures stay, as they only grow.
     pub fn rehome(&mut self) {
         self.hints.clear();
     }
 
-    /// Returns the accounts whose figures are kept.
-    pub fn len(&self) -> usize {
-        self.told.len()
-    }
-
-    /// Returns whether no account's figures are kept.
-    pub fn is_empty(&self) -> bool {
-        self.told.is_empty()
-    }
-
     fn raise(&mut self, account: Account, floor: Usage) {
         let missing = floor.saturating_sub(self.settled(account));
         if missing > 0 {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -27,7 +27,10 @@
     }, //
 };
 use crate::{
-    fair::Table,
+    fair::{
+        EXCHANGE_INTERVAL,
+        Table, //
+    },
     ids::{
         self,
         Account,
@@ -423,6 +426,10 @@
             self.flushed = now;
             self.flush_done();
         }
+        // No wave is due sooner, and its exact interval takes a count of all backlogs.
+        if now < self.exchanged + EXCHANGE_INTERVAL {
+            return;
+        }
         let patience = match self.children().next() {
             None => self.wave_interval(),
             // The wave from below has failed.
--- a/src/router/place.rs
+++ b/src/router/place.rs
@@ -165,7 +165,6 @@
             generation: self.rules.generation(),
             head: ask.head.clone(),
             body: ask.body.clone(),
-            left: request.deadline().saturating_sub(now).as_millis() as u64,
         };
         let message = Message::Dispatch(Rc::new(dispatch));
         self.outs.push(Output::Send(target, message));
--- a/src/shell/admin.rs
+++ b/src/shell/admin.rs
@@ -31,6 +31,7 @@
 
 use super::{
     body::Body,
+    link::Counters,
     router::{
         self,
         PeerId,
@@ -225,7 +226,6 @@
     let core = process.core.borrow();
     let rules = process.rules();
     let generation = process.governor.version().generation as i64;
-    let counters = &process.counters;
     let mut gauges = vec![
         (
             "redwingyard_generation",
@@ -239,19 +239,8 @@
             vec![],
             core.active() as i64,
         ),
-        (
-            "redwingyard_link_sent_bytes",
-            "Bytes sent on links.",
-            vec![],
-            counters.sent.get() as i64,
-        ),
-        (
-            "redwingyard_link_received_bytes",
-            "Bytes received on links.",
-            vec![],
-            counters.received.get() as i64,
-        ),
     ];
+    gauges.extend(link_gauges(&process.counters));
     for ((service, account), waiting) in core.backlog() {
         let labels = vec![
             ("service", rules.name(service).to_string()),
@@ -280,8 +269,7 @@
 fn sidecar_gauges(process: &sidecar::Process) -> Vec<Gauge> {
     let core = process.core.borrow();
     let generation = process.governor.version().generation as i64;
-    let counters = &process.counters;
-    vec![
+    let mut gauges = vec![
         (
             "redwingyard_generation",
             "Generation in force.",
@@ -306,17 +294,24 @@
             vec![],
             core.records().len() as i64,
         ),
-        (
+    ];
+    gauges.extend(link_gauges(&process.counters));
+    gauges
+}
+
+/// The gauges of a process's links.
+fn link_gauges(counters: &Counters) -> [Gauge; 2] {
+    let gauge = |name, help, value: u64| (name, help, vec![], value as i64);
+    [
+        gauge(
             "redwingyard_link_sent_bytes",
             "Bytes sent on links.",
-            vec![],
-            counters.sent.get() as i64,
+            counters.sent.get(),
         ),
-        (
+        gauge(
             "redwingyard_link_received_bytes",
             "Bytes received on links.",
-            vec![],
-            counters.received.get() as i64,
+            counters.received.get(),
         ),
     ]
 }
--- a/src/shell/link.rs
+++ b/src/shell/link.rs
@@ -113,7 +113,6 @@
 pub(super) struct Counters {
     pub(super) sent: Cell<u64>,
     pub(super) received: Cell<u64>,
-    pub(super) messages: Cell<u64>,
 }
 
 impl Sender {
@@ -313,16 +312,13 @@
 ) {
     while let Some(message) = messages.next().await {
         let mut buf = encode(&message);
-        let mut count = 1;
         while buf.len() < WRITE_BYTES {
             let Ok(message) = messages.try_recv() else {
                 break;
             };
             buf.extend(encode(&message));
-            count += 1;
         }
         counters.sent.set(counters.sent.get() + buf.len() as u64);
-        counters.messages.set(counters.messages.get() + count);
         let BufResult(result, _) = stream.write_all(buf).await;
         if result.is_err() {
             return;
--- a/src/sidecar/answer.rs
+++ b/src/sidecar/answer.rs
@@ -25,7 +25,6 @@
     base: u64,
     length: u64,
     end: Option<Rc<End>>,
-    acked: bool,
 }
 
 impl Answer {
@@ -125,7 +124,6 @@
     pub fn finish(&mut self) {
         self.base = self.length;
         self.chunks.clear();
-        self.acked = true;
     }
 
     /// Returns whether reading from the target should pause.
@@ -133,16 +131,6 @@
         self.length - self.base > WINDOW
     }
 
-    /// Returns whether the router has received the whole answer.
-    pub fn is_acked(&self) -> bool {
-        self.acked
-    }
-
-    /// Returns whether the target has ended the answer.
-    pub fn is_ended(&self) -> bool {
-        self.end.is_some()
-    }
-
     /// Returns the bytes that are kept.
     pub fn size(&self) -> u64 {
         self.length - self.base
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -41,15 +41,8 @@
     pub(super) fn leave(&mut self, now: Time, id: RequestId) -> Option<Run> {
         let mut run = self.runs.remove(&id)?;
         self.paused.remove(&id);
-        let share = self
-            .rules
-            .share(self.settings.service, run.dispatch.account);
         let spent = now.saturating_sub(run.since);
-        let due = spent.saturating_sub(run.charged);
-        let others = self.others(run.dispatch.account);
-        self.view
-            .charge(run.dispatch.account, fair::usage(due, share), others);
-        run.charged = spent;
+        self.charge(now, &mut run);
         let cost = self.costs.entry(run.dispatch.account).or_insert(spent);
         *cost = smooth(*cost, spent);
         self.cost = smooth(self.cost, spent);
@@ -129,18 +122,22 @@
     }
 
     pub(super) fn charge_runs(&mut self, now: Time) {
-        for run in self.runs.values_mut() {
-            let spent = now.saturating_sub(run.since);
-            let due = spent.saturating_sub(run.charged);
-            let share = self
-                .rules
-                .share(self.settings.service, run.dispatch.account);
-            let reach = self.reaches.get(&run.dispatch.account);
-            let others = reach.map_or(0, |reach| reach.saturating_sub(1));
-            self.view
-                .charge(run.dispatch.account, fair::usage(due, share), others);
-            run.charged = spent;
+        let mut runs = std::mem::take(&mut self.runs);
+        for run in runs.values_mut() {
+            self.charge(now, run);
         }
+        self.runs = runs;
+    }
+
+    /// Charges an account for the time since its run was last charged.
+    fn charge(&mut self, now: Time, run: &mut Run) {
+        let account = run.dispatch.account;
+        let spent = now.saturating_sub(run.since);
+        let due = spent.saturating_sub(run.charged);
+        let share = self.rules.share(self.settings.service, account);
+        let others = self.others(account);
+        self.view.charge(account, fair::usage(due, share), others);
+        run.charged = spent;
     }
 
     /// Hands admitted attempts to the target while it has slots.
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -134,8 +134,6 @@
         pub head: Rc<Head>,
         /// The body.
         pub body: Bytes,
-        /// The time left to its deadline, in milliseconds.
-        pub left: u64,
     }
 
     /// An idempotency key as a sidecar sees it.
@@ -374,19 +372,3 @@
         Exchange(Vec<Exchange>),
     }
 }
-
-impl Reason {
-    /// Returns whether the attempt certainly did not run and never will.
-    ///
-    /// ```
-    /// use redwingyard::wire::Reason;
-    /// assert!(Reason::Busy.is_not_run());
-    /// assert!(!Reason::Failed.is_not_run());
-    /// ```
-    pub fn is_not_run(self) -> bool {
-        !matches!(
-            self,
-            Reason::Failed | Reason::Forgotten | Reason::KeyDone | Reason::KeyUnknown
-        )
-    }
-}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -78,7 +78,6 @@
         generation: 1,
         head: Rc::new(head(0)),
         body: Bytes::new(),
-        left: 1_000,
     }
 }
 
