--- a/src/cli/verbs.rs
+++ b/src/cli/verbs.rs
@@ -29,11 +29,13 @@
     },
     settings::{
         self,
+        GatewaySettings,
         RouterSettings,
         SidecarSettings, //
     },
     shell::{
         self,
+        GatewayProcess,
         KeyError,
         RouterProcess,
         SidecarProcess, //
@@ -45,10 +47,13 @@
 
   router --settings FILE [--check]   run a router
   sidecar --settings FILE [--check]  run a sidecar
+  gateway [--settings FILE] [--check]
+                                     run a router that sends to targets itself
   check RULES                        check a rules file
   diff OLD NEW                       show what a rules file changes
   explain RULES ACCOUNT              show which lines give an account its shares
   explain RULES TARGET               show which lines list a target
+  explain RULES HOST/PATH            show which line routes a request
   explain RULES METHOD PATH          show which line makes a request a write
   status ADDRESS                     show the state of a process
   keys NAME ...                      make a development authority and keys
@@ -56,6 +61,10 @@
 ";
 
 const SIGTERM: i32 = 15;
+const SIGHUP: i32 = 1;
+
+/// The environment variable that names the settings file where no option does.
+const SETTINGS_VARIABLE: &str = "REDWINGYARD_NODE_FILE";
 
 /// How the command ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -138,6 +147,7 @@
         "--version" => println!("redwingyard {}", env!("CARGO_PKG_VERSION")),
         "router" => return run_router(rest),
         "sidecar" => return run_sidecar(rest),
+        "gateway" => return run_gateway(rest),
         "check" => return check(rest),
         "diff" => return diff(rest),
         "explain" => return explain(rest),
@@ -207,9 +217,52 @@
     })
 }
 
+fn run_gateway(args: &[String]) -> Result<(), VerbError> {
+    let mut options = Options::new();
+    options.optopt("", "settings", "the settings file", "FILE");
+    options.optflag("", "check", "only check the settings");
+    let matches = options
+        .parse(args)
+        .map_err(|err| VerbError::Usage(err.to_string()))?;
+    let named = matches.opt_str("settings");
+    let Some(path) = named.or_else(|| std::env::var(SETTINGS_VARIABLE).ok()) else {
+        let detail = format!("neither --settings nor {SETTINGS_VARIABLE} names the settings");
+        return Err(VerbError::Usage(detail));
+    };
+    let settings = gateway_settings(&path)?;
+    if matches.opt_present("check") {
+        return Ok(());
+    }
+    start_logs();
+    Runtime::new()?.block_on(async {
+        compio::runtime::spawn(reload(path, settings.clone())).detach();
+        let process = GatewayProcess::start(settings).await?;
+        stop_signal().await?;
+        ended(process.drain().await)
+    })
+}
+
+fn gateway_settings(path: &str) -> Result<GatewaySettings, VerbError> {
+    settings::from_str(&read(path)?).map_err(|err| VerbError::Settings(path.to_owned(), err))
+}
+
+/// Checks the settings again whenever the process is told that they have changed.
+///
+/// What they hold is fixed for the life of a process, so a change is only reported.
+async fn reload(path: String, current: GatewaySettings) {
+    while compio::signal::unix::signal(SIGHUP).await.is_ok() {
+        match gateway_settings(&path) {
+            Ok(new) if new == current => log::info!("event=reload changed=false"),
+            Ok(_) => log::warn!("event=reload changed=true in_force=at-restart"),
+            Err(err) => log::error!("event=reload-failed error=\"{err}\""),
+        }
+    }
+}
+
 fn start_logs() {
     let filter = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(filter)
+        .target(env_logger::Target::Stdout)
         .format(|out, record| {
             let wall = SystemTime::now().duration_since(UNIX_EPOCH);
             let millis = wall.unwrap_or_default().as_millis();
@@ -271,6 +324,9 @@
             let rules = read_rules(path)?;
             let mut lines = rules::explain_account(&rules, name);
             lines.extend(rules::explain_target(&rules, name));
+            if let Some(at) = name.find('/') {
+                lines.extend(rules::explain_route(&rules, &name[..at], &name[at..]));
+            }
             if lines.is_empty() {
                 let detail = format!("no line names an account or target {name:?}");
                 return Err(VerbError::No(detail));
--- /dev/null
+++ b/src/feed/mod.rs
@@ -0,0 +1,199 @@
+//! The targets that come and go outside the rules.
+//!
+//! A [`Feed`] takes whole lists of targets, as a registry publishes them, and says which
+//! targets may get new requests. It answers two troubles: a target that leaves gets nothing
+//! more from the moment that its leaving is read, whatever an older heartbeat says later;
+//! and targets that are missing because the registry itself was away keep their place until
+//! they have had time to register again.
+//!
+//! ```
+//! use std::time::Duration;
+//! use redwingyard::feed::{Feed, Listing};
+//!
+//! let mut feed = Feed::default();
+//! let api = Listing { name: "api-1".to_owned(), service: "api".to_owned(), ..Listing::default() };
+//! feed.update(Duration::ZERO, vec![api.clone()], false);
+//! assert_eq!(feed.serving().count(), 1);
+//! feed.update(Duration::from_secs(1), vec![Listing { draining: true, ..api }], false);
+//! assert_eq!(feed.serving().count(), 0);
+//! ```
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use derive_more::Display;
+
+use crate::ids::{
+    Target,
+    Time,
+    id, //
+};
+
+/// The time in which targets register again after the registry was away.
+pub const RESTORE_TIME: Duration = Duration::from_millis(2_000);
+
+data! {
+    /// A target as its registry describes it.
+    pub struct Listing {
+        /// The name, new at most starts of the target.
+        pub name: String,
+        /// The service.
+        pub service: String,
+        /// Where it takes requests.
+        pub address: SocketAddr,
+        /// The failure domain.
+        pub domain: String,
+        /// The requests that it serves at a time.
+        pub slots: u32,
+        /// Whether it takes no new requests.
+        pub draining: bool,
+        /// When it started, in milliseconds since the Unix epoch; zero where unknown.
+        pub born: u64,
+    }
+}
+
+impl Default for Listing {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            service: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            domain: String::new(),
+            slots: 1,
+            draining: false,
+            born: 0,
+        }
+    }
+}
+
+/// What a feed has learnt of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Change {
+    /// A target may get requests.
+    #[display("event=target-joined target={_0}")]
+    Joined(String),
+    /// A target says that it takes no new requests.
+    #[display("event=target-draining target={_0}")]
+    Draining(String),
+    /// A target has started again under the same name.
+    #[display("event=target-restarted target={_0}")]
+    Restarted(String),
+    /// A target is no longer listed.
+    #[display("event=target-left target={_0}")]
+    Left(String),
+    /// A target is missing after the registry was away.
+    #[display("event=target-lapsed target={_0}")]
+    Lapsed(String),
+    /// Another target has the address of this one.
+    #[display("event=target-moved target={_0}")]
+    Moved(String),
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    listing: Listing,
+    lapsed: bool,
+    moved: bool,
+}
+
+/// The targets that are known now.
+#[derive(Clone, Debug, Default)]
+pub struct Feed {
+    known: BTreeMap<Target, Known>,
+    grace: Option<Time>,
+}
+
+impl Feed {
+    /// Takes in the whole list of targets and returns what has changed.
+    ///
+    /// `restored` says that this is the first list after the registry was away.
+    pub fn update(&mut self, now: Time, list: Vec<Listing>, restored: bool) -> Vec<Change> {
+        if restored {
+            self.grace = Some(now + RESTORE_TIME);
+        }
+        let lenient = self.grace.is_some_and(|grace| now < grace);
+        let mut changes = Vec::new();
+        let mut listed: BTreeMap<Target, Listing> = BTreeMap::new();
+        for listing in list {
+            listed.insert(id(&listing.name), listing);
+        }
+        self.known.retain(|target, known| {
+            if listed.contains_key(target) {
+                return true;
+            }
+            if lenient && !known.lapsed {
+                changes.push(Change::Lapsed(known.listing.name.clone()));
+            }
+            known.lapsed = lenient;
+            if !lenient {
+                changes.push(Change::Left(known.listing.name.clone()));
+            }
+            lenient
+        });
+        for (target, listing) in listed {
+            changes.extend(self.note(target, listing));
+        }
+        changes
+    }
+
+    fn note(&mut self, target: Target, listing: Listing) -> Option<Change> {
+        let name = listing.name.clone();
+        let Some(known) = self.known.get_mut(&target) else {
+            let draining = listing.draining;
+            let known = Known {
+                listing,
+                lapsed: false,
+                moved: false,
+            };
+            self.known.insert(target, known);
+            return Some(match draining {
+                true => Change::Draining(name),
+                false => Change::Joined(name),
+            });
+        };
+        known.lapsed = false;
+        // A heartbeat of an earlier start was delayed.
+        if listing.born < known.listing.born {
+            return None;
+        }
+        if listing.born > known.listing.born {
+            *known = Known {
+                listing,
+                lapsed: false,
+                moved: false,
+            };
+            return Some(Change::Restarted(name));
+        }
+        let drained = known.listing.draining;
+        let leaves = listing.draining && !drained;
+        // An older heartbeat doesn't bring back a target that has said that it leaves.
+        known.listing = Listing {
+            draining: drained || listing.draining,
+            ..listing
+        };
+        leaves.then_some(Change::Draining(name))
+    }
+
+    /// Notes that another target answered at a target's address.
+    pub fn moved(&mut self, target: Target) -> Option<Change> {
+        let known = self.known.get_mut(&target)?;
+        let fresh = !known.moved;
+        known.moved = true;
+        fresh.then(|| Change::Moved(known.listing.name.clone()))
+    }
+
+    /// Returns a target, whether or not it may get new requests.
+    pub fn get(&self, target: Target) -> Option<&Listing> {
+        self.known.get(&target).map(|known| &known.listing)
+    }
+
+    /// Returns the targets that may get new requests.
+    pub fn serving(&self) -> impl Iterator<Item = &Listing> {
+        let may = |known: &&Known| !known.listing.draining && !known.moved;
+        let known = self.known.values().filter(may);
+        known.map(|known| &known.listing)
+    }
+}
--- /dev/null
+++ b/src/platform/fields.rs
@@ -0,0 +1,171 @@
+//! The header fields of callers and targets.
+
+use std::time::Duration;
+
+use hyper::header::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue, //
+};
+
+use crate::pool::{
+    Part,
+    Prompt, //
+};
+
+/// The caller's name for one attempt of a request; targets echo it.
+const ID: HeaderName = HeaderName::from_static("request-id");
+/// The key that says which account calls.
+const KEY: HeaderName = HeaderName::from_static("credential");
+/// The account, for the target.
+const ACCOUNT: HeaderName = HeaderName::from_static("tenant");
+/// The time that the caller still waits, in milliseconds.
+const BUDGET: HeaderName = HeaderName::from_static("deadline");
+/// The name of the only target that may run the request.
+const TARGET: HeaderName = HeaderName::from_static("expect-instance");
+/// Says that a target has not run the request.
+const UNRUN: HeaderName = HeaderName::from_static("not-executed");
+/// The prompt's tokens and the most tokens that are to be generated.
+const TOKENS: HeaderName = HeaderName::from_static("token-count");
+/// The parts of the prompt, with their tokens.
+const PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
+/// The caller's estimate of the tokens that will be generated.
+const HINT: HeaderName = HeaderName::from_static("length-hint");
+/// The last event that the caller has of a stream.
+const EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+/// The fields that only the system may set, so those of callers are dropped.
+const RESERVED: [&str; 8] = [
+    "tenant",
+    "expect-instance",
+    "expect-version",
+    "cache-hold",
+    "pin-duration",
+    "kv-backup",
+    "kv-from",
+    "kv-fetch",
+];
+
+/// What a caller's header fields say beside the request itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Envelope {
+    /// The caller's name for this attempt.
+    pub id: String,
+    /// The key, if there is one.
+    pub key: Option<String>,
+    /// The time that the caller waits, if it says so.
+    pub budget: Option<Duration>,
+    /// What is asked of a model engine.
+    pub prompt: Option<Prompt>,
+}
+
+/// What a router tells a target beside the request itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Address<'a> {
+    /// The target's name; any other one refuses the request.
+    pub target: &'a str,
+    /// The account, if the request has one.
+    pub account: Option<&'a str>,
+    /// The time that is left.
+    pub left: Duration,
+    /// The last event of the stream that the caller has, where another target goes on.
+    pub resume: Option<&'a str>,
+}
+
+/// What a target's answer means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answers the request.
+    Answer,
+    /// The target has not run the request.
+    Unrun,
+    /// Another target is at the address; it has not run the request.
+    Moved,
+    /// It answers another request.
+    Foreign,
+}
+
+/// Reads a caller's header fields.
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderValue};
+/// let mut headers = HeaderMap::new();
+/// headers.insert("token-count", HeaderValue::from_static("1460,80"));
+/// headers.insert("prompt-prefix", HeaderValue::from_static("5c:800,91:660"));
+/// let prompt = redwingyard::platform::envelope(&headers).prompt.unwrap();
+/// assert_eq!((prompt.input, prompt.output, prompt.parts.len()), (1460, 80, 2));
+/// ```
+pub fn envelope(headers: &HeaderMap) -> Envelope {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    Envelope {
+        id: text(ID).unwrap_or_default().to_owned(),
+        key: text(KEY).map(str::to_owned),
+        budget: text(BUDGET)
+            .and_then(|value| value.trim().parse().ok())
+            .map(Duration::from_millis),
+        prompt: text(TOKENS).and_then(|tokens| prompt(tokens, text(PARTS), text(HINT))),
+    }
+}
+
+fn prompt(tokens: &str, parts: Option<&str>, hint: Option<&str>) -> Option<Prompt> {
+    let (input, most) = tokens.split_once(',')?;
+    let most: u64 = most.trim().parse().ok()?;
+    let hint = hint.and_then(|hint| hint.trim().parse().ok());
+    let parts = parts.unwrap_or_default().split(',').filter_map(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some((id, tokens.parse().ok()?))
+    });
+    Some(Prompt {
+        parts: Part::chain(parts),
+        input: input.trim().parse().ok()?,
+        output: hint.unwrap_or(most).min(most),
+    })
+}
+
+/// Turns a caller's header fields into those for a target.
+///
+/// # Panics
+///
+/// Never: fields that can't be written are left out.
+pub fn address(headers: &mut HeaderMap, to: &Address<'_>) {
+    headers.remove(KEY);
+    for name in RESERVED {
+        headers.remove(name);
+    }
+    let mut set = |name, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(BUDGET, &to.left.as_millis().max(1).to_string());
+    set(TARGET, to.target);
+    if let Some(account) = to.account {
+        set(ACCOUNT, account);
+    }
+    if let Some(event) = to.resume {
+        set(EVENT, event);
+    }
+}
+
+/// Says what the head of a target's answer to the request `id` means.
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderValue};
+/// use redwingyard::platform::{Verdict, verdict};
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(verdict(421, &headers, "7"), Verdict::Moved);
+/// headers.insert("request-id", HeaderValue::from_static("8"));
+/// assert_eq!(verdict(200, &headers, "7"), Verdict::Foreign);
+/// ```
+pub fn verdict(status: u16, headers: &HeaderMap, id: &str) -> Verdict {
+    let echoed = headers.get(ID);
+    if echoed.is_some_and(|value| value.as_bytes() != id.as_bytes()) {
+        return Verdict::Foreign;
+    }
+    match status {
+        421 => Verdict::Moved,
+        _ if headers.contains_key(UNRUN) => Verdict::Unrun,
+        200..300 if echoed.is_none() && !id.is_empty() => Verdict::Foreign,
+        _ => Verdict::Answer,
+    }
+}
--- /dev/null
+++ b/src/platform/targets.rs
@@ -0,0 +1,47 @@
+//! The servers that register themselves in the store, as listings of targets.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::feed::Listing;
+
+/// A server's entry; its `sequence` counts orders and says nothing about the entry's age.
+#[derive(Deserialize)]
+struct Server {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: State,
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    Draining,
+}
+
+/// Returns the listing in a server's entry, or `None` for one that another writer has left.
+///
+/// ```
+/// let entry = br#"{"service":"api","address":"10.0.0.9:80","zone":"a","slots":6,
+///     "state":"ready","sequence":4}"#;
+/// assert_eq!(redwingyard::platform::listing("i-1", entry).unwrap().slots, 6);
+/// assert!(redwingyard::platform::listing("i-1", b"{}").is_none());
+/// ```
+pub fn listing(name: &str, value: &[u8]) -> Option<Listing> {
+    let server: Server = serde_json::from_slice(value).ok()?;
+    Some(Listing {
+        name: name.to_owned(),
+        service: server.service,
+        address: server.address,
+        domain: server.zone,
+        slots: server.slots,
+        draining: server.state == State::Draining,
+        born: server.born,
+    })
+}
--- /dev/null
+++ b/src/pool/cache.rs
@@ -0,0 +1,82 @@
+//! What a router believes of the prompt parts that an engine keeps.
+
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+
+use super::Part;
+use crate::ids::Time;
+
+/// The prompt parts that an engine is believed to keep, least recently used first out.
+///
+/// The belief is learnt from the requests that this router has sent, so it can be wrong
+/// either way; it only decides placement.
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    capacity: u64,
+    tokens: u64,
+    clock: u64,
+    parts: HashMap<u64, (u64, u64)>,
+    order: BTreeMap<u64, u64>,
+}
+
+impl Cache {
+    /// Creates the belief about an engine that keeps `capacity` tokens.
+    ///
+    /// ```
+    /// use redwingyard::pool::{Cache, Part};
+    /// let mut cache = Cache::new(1_000);
+    /// let parts = Part::chain([("a", 600), ("b", 300)]);
+    /// cache.insert(&parts);
+    /// assert_eq!(cache.kept(&parts), 900);
+    /// cache.insert(&Part::chain([("c", 500)]));
+    /// assert_eq!(cache.kept(&parts), 0);
+    /// ```
+    pub fn new(capacity: u64) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the tokens of the longest beginning of a prompt that is kept.
+    pub fn kept(&self, parts: &[Part]) -> u64 {
+        let kept = parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.path));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Notes that a prompt has been read.
+    pub fn insert(&mut self, parts: &[Part]) {
+        // The first parts are used last, so that a path is forgotten from its end.
+        for part in parts.iter().rev() {
+            self.clock += 1;
+            let fresh = (part.tokens, self.clock);
+            match self.parts.insert(part.path, fresh) {
+                Some((_, used)) => {
+                    self.order.remove(&used);
+                }
+                None => self.tokens += part.tokens,
+            }
+            self.order.insert(self.clock, part.path);
+        }
+        while self.tokens > self.capacity {
+            let Some((_, path)) = self.order.pop_first() else {
+                break;
+            };
+            if let Some((tokens, _)) = self.parts.remove(&path) {
+                self.tokens -= tokens;
+            }
+        }
+    }
+
+    /// Forgets everything, as the engine has started again.
+    pub fn clear(&mut self) {
+        *self = Self::new(self.capacity);
+    }
+}
+
+/// The time at which a router last heard of something.
+pub(super) type Heard = Time;
--- /dev/null
+++ b/src/pool/member.rs
@@ -0,0 +1,159 @@
+//! A target of the pool with its load.
+
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+
+use super::{
+    Cache,
+    Health,
+    Pace,
+    Prompt,
+    Seat,
+    cache::Heard, //
+};
+use crate::ids::{
+    Router,
+    Target, //
+};
+
+/// The part of an engine's memory that prompts are believed to stay in after their use; the
+/// rest is taken by what runs.
+const KEPT_PART: f64 = 0.5;
+
+data! {
+    /// What one router has at a target.
+    #[derive(Copy, Default)]
+    pub struct Load {
+        /// The target.
+        pub target: Target,
+        /// The requests that have not ended.
+        pub running: u32,
+        /// The prompt tokens that are still to be read.
+        pub unread: u64,
+        /// The tokens of engine memory that requests take.
+        pub memory: u64,
+    }
+}
+
+/// A request's part of a target's load.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Claim {
+    /// The prompt tokens to read.
+    pub(super) unread: u64,
+    /// The tokens of memory that no other request shares.
+    pub(super) memory: u64,
+    /// The prompt tokens to read when it was sent, all requests together.
+    pub(super) ahead: u64,
+    /// The deepest shared part, with the tokens up to it.
+    pub(super) shared: Option<(u64, u64)>,
+}
+
+/// A target with what this router knows of it.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) seat: Seat,
+    pub(super) own: Load,
+    pub(super) peers: BTreeMap<Router, (Load, Heard)>,
+    pub(super) cache: Cache,
+    pub(super) health: Health,
+    pub(super) pace: Pace,
+    shared: HashMap<u64, u32>,
+}
+
+impl Member {
+    pub(super) fn new(seat: Seat) -> Self {
+        let kept = (seat.memory as f64 * KEPT_PART) as u64;
+        Self {
+            own: Load {
+                target: seat.target,
+                ..Load::default()
+            },
+            peers: BTreeMap::new(),
+            cache: Cache::new(kept),
+            health: Health::default(),
+            pace: Pace::default(),
+            shared: HashMap::new(),
+            seat,
+        }
+    }
+
+    /// Takes in what the feed says now; a target that has started again has forgotten all.
+    pub(super) fn update(&mut self, seat: Seat) {
+        if seat.born != self.seat.born {
+            self.cache.clear();
+            self.health = Health::default();
+        }
+        self.seat = seat;
+    }
+
+    /// Returns the load of this router and of all others together.
+    pub(super) fn load(&self) -> Load {
+        let mut load = self.own;
+        for (peer, _) in self.peers.values() {
+            load.running += peer.running;
+            load.unread += peer.unread;
+            load.memory += peer.memory;
+        }
+        load
+    }
+
+    /// Returns the prompt tokens that the target would have to read.
+    pub(super) fn unread(&self, prompt: &Prompt) -> u64 {
+        prompt.input.saturating_sub(self.cache.kept(&prompt.parts))
+    }
+
+    /// Counts a request that is sent.
+    pub(super) fn claim(&mut self, prompt: Option<&Prompt>) -> Claim {
+        self.own.running += 1;
+        let Some(prompt) = prompt else {
+            return Claim::default();
+        };
+        let unread = self.unread(prompt);
+        let shared = prompt
+            .shared()
+            .map(|part| (part.path, prompt.shared_tokens()));
+        let shared_tokens = shared.map_or(0, |(_, tokens)| tokens);
+        let claim = Claim {
+            unread,
+            memory: (prompt.input + prompt.output).saturating_sub(shared_tokens),
+            ahead: self.load().unread + unread,
+            shared,
+        };
+        self.own.unread += claim.unread;
+        self.own.memory += claim.memory;
+        if let Some((path, tokens)) = shared {
+            let users = self.shared.entry(path).or_default();
+            *users += 1;
+            if *users == 1 {
+                self.own.memory += tokens;
+            }
+        }
+        self.cache.insert(&prompt.parts);
+        claim
+    }
+
+    /// Counts a prompt that has been read.
+    pub(super) fn read(&mut self, claim: &mut Claim) {
+        self.own.unread = self.own.unread.saturating_sub(claim.unread);
+        claim.unread = 0;
+    }
+
+    /// Counts a request that has ended.
+    pub(super) fn release(&mut self, mut claim: Claim) {
+        self.read(&mut claim);
+        self.own.running = self.own.running.saturating_sub(1);
+        self.own.memory = self.own.memory.saturating_sub(claim.memory);
+        let Some((path, tokens)) = claim.shared else {
+            return;
+        };
+        if let Some(users) = self.shared.get_mut(&path) {
+            *users -= 1;
+            if *users == 0 {
+                self.shared.remove(&path);
+                self.own.memory = self.own.memory.saturating_sub(tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/pool/place.rs
@@ -0,0 +1,219 @@
+//! Placement: which waiting request goes to which target, and when.
+//!
+//! It answers two loads. Past capacity, a request is sent only where its first byte is
+//! expected in time, so that what is sent is served in time, and the order among accounts
+//! decides who that is. Below capacity, prompts go where their parts are kept.
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use super::{
+    Ask,
+    Pool,
+    core::{
+        Request,
+        Stage, //
+    },
+    member::Member,
+    pace::millis, //
+};
+use crate::ids::{
+    Account,
+    Sequence,
+    Service,
+    Target,
+    Time,
+    weight, //
+};
+
+/// The part of the objective that a request may wait at the router; the rest is for the
+/// target.
+pub(super) const HOLD_PART: f64 = 0.45;
+
+/// The part of the objective in which the first byte must be expected.
+const DUE_PART: f64 = 0.85;
+
+/// The tokens that an engine may have to read before a prompt that is too long to be read in
+/// time anywhere: one chunk of today's engines.
+const IDLE_TOKENS: u64 = 4_096;
+
+/// The part of an engine's memory that is planned for; beyond it the engine preempts.
+const MEMORY_PART: f64 = 0.9;
+
+/// What it costs to leave the failure domain, in milliseconds of waiting.
+const DOMAIN_COST: f64 = 12.0;
+
+/// What a target that always fails costs, in milliseconds of waiting.
+const FAILING_COST: f64 = 2_000.0;
+
+/// The part of the shared tokens that the engine to which they hash is presumed to keep.
+const PRESUMED_PART: f64 = 0.5;
+
+/// The requests of a plain target for each of its slots; more would wait too long there.
+const PLAIN_FILL: u32 = 2;
+
+/// The cost of each request per slot at a plain target, in milliseconds.
+const PLAIN_COST: f64 = 30.0;
+
+/// The requests of one account that are looked at for one that can be sent.
+const LOOK_AHEAD: usize = 8;
+
+/// A target that can take a request now.
+struct Choice {
+    target: Target,
+    cost: f64,
+    first: Duration,
+}
+
+impl Pool {
+    /// Sends waiting requests of a service while targets can take them.
+    pub(super) fn pump(&mut self, now: Time, service: Service) {
+        let mut blocked = BTreeSet::new();
+        while let Some(account) = self.next_account(service, &blocked) {
+            match self.next_request(now, service, account) {
+                Some((sequence, choice)) => {
+                    self.send(now, sequence, choice.target, choice.first);
+                }
+                // Capacity only shrinks in this loop.
+                None => {
+                    blocked.insert(account);
+                }
+            }
+        }
+    }
+
+    /// Returns the account that has had the least service of those that wait.
+    fn next_account(&self, service: Service, blocked: &BTreeSet<Account>) -> Option<Account> {
+        let lane = self.lanes.get(&service)?;
+        let lines = lane.queue.lines();
+        let able = lines.filter(|(account, _)| !blocked.contains(account));
+        if self.settings.baseline {
+            let first = able.min_by_key(|(_, line)| line.front().copied());
+            return first.map(|(account, _)| account);
+        }
+        let accounts = able.map(|(account, _)| account);
+        accounts.min_by_key(|account| lane.ledger.usage(*account))
+    }
+
+    fn next_request(
+        &self,
+        now: Time,
+        service: Service,
+        account: Account,
+    ) -> Option<(Sequence, Choice)> {
+        let lane = self.lanes.get(&service)?;
+        let (_, line) = lane.queue.lines().find(|(other, _)| *other == account)?;
+        let mut sequences = line.iter().take(LOOK_AHEAD);
+        sequences.find_map(|sequence| {
+            let request = &self.requests[sequence];
+            Some((*sequence, self.choose(now, request)?))
+        })
+    }
+
+    /// Returns the best target that can take a request now.
+    fn choose(&self, now: Time, request: &Request) -> Option<Choice> {
+        debug_assert!(matches!(request.stage, Stage::Waiting));
+        let lane = self.lanes.get(&request.ask.service)?;
+        let members = lane
+            .members
+            .iter()
+            .filter_map(|target| self.members.get(target));
+        let fresh = |member: &&Member| !request.tried.contains(&member.seat.target);
+        let fresh: Vec<_> = members.filter(fresh).collect();
+        let trusted = |member: &&&Member| !member.health.is_avoided(now);
+        let trusted: Vec<_> = fresh.iter().filter(trusted).copied().collect();
+        // When all are avoided, none is worse than the others.
+        let members = if trusted.is_empty() { &fresh } else { &trusted };
+        let failing = members.iter().map(|member| member.health.failing());
+        let least = failing.fold(1.0, f64::min);
+        let home = self.home(&request.ask, members);
+        let choices = members.iter().filter_map(|member| {
+            let mut choice = match self.settings.baseline {
+                true => least_busy(member),
+                false => self.consider(now, request, member, home)?,
+            };
+            choice.cost += (member.health.failing() - least) * FAILING_COST;
+            Some(choice)
+        });
+        choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    /// Returns the engine to which the shared part of a prompt hashes at every router.
+    fn home(&self, ask: &Ask, members: &[&Member]) -> Option<Target> {
+        let part = ask.prompt.as_ref()?.shared()?;
+        let targets = members.iter().map(|member| member.seat.target);
+        targets.max_by_key(|target| weight(*target, part.path))
+    }
+
+    fn consider(
+        &self,
+        now: Time,
+        request: &Request,
+        member: &Member,
+        home: Option<Target>,
+    ) -> Option<Choice> {
+        let mut choice = match &request.ask.prompt {
+            Some(_) if member.seat.memory > 0 => engine(now, request, member, home)?,
+            _ => plain(member)?,
+        };
+        if member.seat.domain != self.settings.domain {
+            choice.cost += DOMAIN_COST;
+        }
+        Some(choice)
+    }
+}
+
+/// Considers a model engine: its batch, its memory, and the time to the first event.
+fn engine(now: Time, request: &Request, member: &Member, home: Option<Target>) -> Option<Choice> {
+    let ask = &request.ask;
+    let prompt = ask.prompt.as_ref()?;
+    let target = member.seat.target;
+    let load = member.load();
+    let learnt = member.unread(prompt);
+    let presumed = match home == Some(target) {
+        true => (prompt.shared_tokens() as f64 * PRESUMED_PART) as u64,
+        false => 0,
+    };
+    let unread = learnt.min(prompt.input.saturating_sub(presumed));
+    let first = member.pace.expect(load.unread + unread);
+    let waited = now.saturating_sub(request.arrived);
+    let timely = waited + first <= ask.objective.mul_f64(DUE_PART);
+    let needed = load.memory + prompt.input + prompt.output;
+    let fits = needed as f64 <= member.seat.memory as f64 * MEMORY_PART || load.running == 0;
+    if load.running >= member.seat.slots || !fits || !(timely || load.unread < IDLE_TOKENS) {
+        return None;
+    }
+    // Reading a part again takes time from others as well.
+    let cost = millis(first) + unread as f64 * member.pace.slope();
+    Some(Choice {
+        target,
+        cost,
+        first,
+    })
+}
+
+/// Considers a plain target: its slots.
+fn plain(member: &Member) -> Option<Choice> {
+    let slots = member.seat.slots.max(1);
+    let running = member.load().running;
+    if running >= slots * PLAIN_FILL {
+        return None;
+    }
+    let fill = f64::from(running + 1) / f64::from(slots);
+    Some(Choice {
+        target: member.seat.target,
+        cost: fill * PLAIN_COST,
+        first: Duration::ZERO,
+    })
+}
+
+/// Considers a target as the baseline does: by the requests that this router has there.
+fn least_busy(member: &Member) -> Choice {
+    Choice {
+        target: member.seat.target,
+        cost: f64::from(member.own.running),
+        first: Duration::ZERO,
+    }
+}
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -4,6 +4,7 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: u32,
+    most: u32,
 }
 
 /// The tokens that a retry costs.
@@ -14,15 +15,23 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        let tokens = 10 * RETRY_COST;
-        Self { tokens }
+        Self {
+            tokens: 10 * RETRY_COST,
+            most: MAX_TOKENS,
+        }
     }
 }
 
 impl Budget {
+    /// Creates a budget that begins with all the retries that may be saved up.
+    pub fn new(most: u32) -> Self {
+        let most = most * RETRY_COST;
+        Self { tokens: most, most }
+    }
+
     /// Notes a new request, which earns a tenth of a retry.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + 1).min(MAX_TOKENS);
+        self.tokens = (self.tokens + 1).min(self.most);
     }
 
     /// Takes a retry out of the budget and returns whether there was one.
--- a/src/rules/explain.rs
+++ b/src/rules/explain.rs
@@ -2,7 +2,9 @@
 
 use super::{
     Entry,
-    Rules, //
+    Rule,
+    Rules,
+    model::ANY, //
 };
 use crate::ids::id;
 
@@ -21,13 +23,17 @@
     let mut services: Vec<_> = rules.members().map(|(service, _)| service).collect();
     services.sort_unstable();
     services.dedup();
-    services
-        .into_iter()
-        .filter_map(|service| {
-            let entry = rules.share_entry(id(service), id(account))?;
-            Some(format!("{service}: {}", line(entry)))
-        })
-        .collect()
+    if services.is_empty() {
+        services.push(ANY);
+    }
+    let shares = services.into_iter().filter_map(|service| {
+        let entry = rules.share_entry(id(service), id(account))?;
+        Some(format!("{service}: {}", line(entry)))
+    });
+    let keys = rules.entries().iter().filter(
+        |entry| matches!(&entry.rule, Rule::Key { account: a, .. } if a == account), //
+    );
+    shares.chain(keys.map(line)).collect()
 }
 
 /// Explains why a target serves and whether it is leaving.
@@ -44,6 +50,24 @@
     entries.into_iter().flatten().map(line).collect()
 }
 
+/// Explains which line routes a host and path.
+///
+/// ```
+/// use redwingyard::rules;
+/// let rules = rules::from_str(
+///     "generation 1 # kim\nroute r a.example / api:1 once plain open 1 900 90 # kim\n",
+/// )?;
+/// assert!(rules::explain_route(&rules, "a.example", "/x")[0].starts_with("line 2: route r "));
+/// # Ok::<(), rules::Errors>(())
+/// ```
+pub fn explain_route(rules: &Rules, host: &str, path: &str) -> Vec<String> {
+    rules
+        .route_entry(host, path)
+        .into_iter()
+        .map(line)
+        .collect()
+}
+
 /// Explains whether a request is idempotent.
 ///
 /// ```
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -15,6 +15,7 @@
 mod model;
 mod parse;
 mod print;
+mod route;
 
 pub use diff::{
     Change,
@@ -28,6 +29,7 @@
 pub use explain::{
     explain_account,
     explain_request,
+    explain_route,
     explain_target, //
 };
 pub use model::{
@@ -39,3 +41,11 @@
 };
 pub use parse::from_str;
 pub use print::to_string;
+pub use route::{
+    KeyDigest,
+    Limit,
+    Repeat,
+    Route,
+    Weight,
+    digest, //
+};
--- a/src/rules/model.rs
+++ b/src/rules/model.rs
@@ -5,6 +5,10 @@
     rc::Rc, //
 };
 
+use super::{
+    Limit,
+    Route, //
+};
 use crate::ids::{
     Account,
     Generation,
@@ -58,6 +62,31 @@
             /// The target.
             target: String,
         },
+        /// Where requests of a host and path prefix go.
+        Route(Route),
+        /// A key of an account's callers.
+        Key {
+            /// The account.
+            account: String,
+            /// The SHA-256 digest of the key.
+            digest: String,
+        },
+        /// A bound on what callers send.
+        Limit {
+            /// What is bounded.
+            limit: Limit,
+            /// The bound, in the limit's unit.
+            value: u64,
+        },
+        /// Model engines that serve a service.
+        Engine {
+            /// The service.
+            service: String,
+            /// The requests that an engine runs at a time.
+            slots: u32,
+            /// The tokens that an engine's memory holds.
+            memory: u64,
+        },
     }
 
     /// One rule with its place and the person who asked for it.
@@ -76,8 +105,14 @@
 impl Rule {
     /// Returns the services, accounts and targets that the rule names.
     pub(super) fn names(&self) -> impl Iterator<Item = &str> {
+        let split = match self {
+            Rule::Route(route) => &route.split[..],
+            _ => &[],
+        };
         let (first, second) = match self {
-            Rule::Generation(_) => (None, None),
+            Rule::Generation(_) | Rule::Limit { .. } | Rule::Route(_) => (None, None),
+            Rule::Key { account, .. } => (Some(account), None),
+            Rule::Engine { service, .. } => (Some(service), None),
             Rule::Share {
                 service, account, ..
             } => (Some(service), Some(account)),
@@ -85,7 +120,9 @@
             Rule::Target { service, target } => (Some(service), Some(target)),
             Rule::Leaving { target } => (Some(target), None),
         };
-        first.into_iter().chain(second).map(String::as_str)
+        let services = split.iter().map(|part| &part.service);
+        let named = first.into_iter().chain(second);
+        named.chain(services).map(String::as_str)
     }
 }
 
@@ -100,6 +137,8 @@
     targets: HashMap<Target, usize>,
     leaving: HashMap<Target, usize>,
     names: HashMap<u32, Rc<str>>,
+    routes: HashMap<String, usize>,
+    keys: HashMap<String, Account>,
 }
 
 impl PartialEq for Rules {
@@ -134,7 +173,16 @@
                 Rule::Leaving { target } => {
                     rules.leaving.insert(id(target), i);
                 }
-                Rule::Write { .. } => {}
+                Rule::Key { account, digest } => {
+                    rules.accounts.insert(id(account), i);
+                    rules.keys.insert(digest.clone(), id(account));
+                }
+                Rule::Route(route) => {
+                    rules
+                        .routes
+                        .insert(route_key(&route.host, &route.prefix), i);
+                }
+                Rule::Write { .. } | Rule::Limit { .. } | Rule::Engine { .. } => {}
             }
         }
         rules.entries = entries;
@@ -248,6 +296,65 @@
         self.leaving.get(&target).map(|i| &self.entries[*i])
     }
 
+    /// Returns the route of a request: of those of its host, the one with the longest prefix.
+    ///
+    /// ```
+    /// use redwingyard::rules;
+    /// let rules = rules::from_str(
+    ///     "generation 1  # kim\n\
+    ///      route all shop.example / api:1 repeat plain open 2 1200 150  # kim\n\
+    ///      route fit shop.example /fit/ llm:1 once stream open 1 15000 600  # kim\n",
+    /// )?;
+    /// assert_eq!(rules.route("shop.example", "/fit/7?x=1").unwrap().name, "fit");
+    /// assert_eq!(rules.route("shop.example", "/fit").unwrap().name, "all");
+    /// assert!(rules.route("other.example", "/fit/7").is_none());
+    /// # Ok::<(), rules::Errors>(())
+    /// ```
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        match self.route_entry(host, path).map(|entry| &entry.rule) {
+            Some(Rule::Route(route)) => Some(route),
+            _ => None,
+        }
+    }
+
+    /// Returns the entry that routes a request.
+    pub fn route_entry(&self, host: &str, path: &str) -> Option<&Entry> {
+        let path = path.split('?').next().unwrap_or_default();
+        let slashes = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
+        let mut found = slashes.filter_map(|prefix| self.routes.get(&route_key(host, prefix)));
+        found.next().map(|i| &self.entries[*i])
+    }
+
+    /// Returns the account that holds a key, given the key's digest.
+    pub fn key_account(&self, digest: &str) -> Option<Account> {
+        self.keys.get(digest).copied()
+    }
+
+    /// Returns whether any account has a key; otherwise callers need none.
+    pub fn has_keys(&self) -> bool {
+        !self.keys.is_empty()
+    }
+
+    /// Returns a limit on what callers send, if a line sets it.
+    pub fn limit(&self, limit: Limit) -> Option<u64> {
+        self.entries.iter().find_map(|entry| match entry.rule {
+            Rule::Limit { limit: l, value } if l == limit => Some(value),
+            _ => None,
+        })
+    }
+
+    /// Returns the slots and the memory in tokens of a service's engines.
+    pub fn engine(&self, service: Service) -> Option<(u32, u64)> {
+        self.entries.iter().find_map(|entry| match &entry.rule {
+            Rule::Engine {
+                service: s,
+                slots,
+                memory,
+            } if id(s) == service => Some((*slots, *memory)),
+            _ => None,
+        })
+    }
+
     /// Returns each target with its service.
     pub fn members(&self) -> impl Iterator<Item = (&str, &str)> {
         self.entries.iter().filter_map(|entry| match &entry.rule {
@@ -273,6 +380,10 @@
     }
 }
 
+fn route_key(host: &str, prefix: &str) -> String {
+    format!("{host} {prefix}")
+}
+
 /// Returns whether a path matches a pattern, segment by segment.
 fn matches(pattern: &str, path: &str) -> bool {
     let path = path.split('?').next().unwrap_or_default();
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -9,10 +9,15 @@
     Entry,
     Error,
     Errors,
+    KeyDigest,
+    Limit,
     MAX_SHARE,
     MAX_TEXT,
+    Repeat,
+    Route,
     Rule,
     Rules,
+    Weight,
     model::ANY, //
 };
 use crate::ids::{
@@ -113,12 +118,19 @@
         "write" => "write SERVICE METHOD PATH",
         "target" => "target SERVICE TARGET",
         "leaving" => "leaving TARGET",
+        "route" => {
+            "route NAME HOST PREFIX SERVICE:WEIGHT,... once|repeat|resume plain|stream keyed|open \
+             ATTEMPTS TIMEOUT-MS OBJECTIVE-MS"
+        }
+        "key" => "key ACCOUNT sha256:DIGEST",
+        "limit" => "limit NAME VALUE",
+        "engine" => "engine SERVICE SLOTS TOKENS",
         other => {
             let detail = format!("unknown rule {other:?}");
             return Err(syntax(line, verb.column, detail));
         }
     };
-    let want = form.split(' ').count() - 1;
+    let want = form.split_whitespace().count() - 1;
     if args.len() != want {
         let column = match args.get(want) {
             Some(extra) => extra.column,
@@ -142,12 +154,97 @@
             service: name(line, args[0], false)?,
             target: name(line, args[1], false)?,
         },
+        "route" => Rule::Route(route(line, args)?),
+        "key" => Rule::Key {
+            account: name(line, args[0], false)?,
+            digest: digest(line, args[1])?,
+        },
+        "limit" => Rule::Limit {
+            limit: limit(line, args[0])?,
+            value: number(line, args[1], 1, u64::MAX)?,
+        },
+        "engine" => Rule::Engine {
+            service: name(line, args[0], false)?,
+            slots: number(line, args[1], 1, u64::from(u32::MAX))? as u32,
+            memory: number(line, args[2], 1, u64::MAX)?,
+        },
         _ => Rule::Leaving {
             target: name(line, args[0], false)?,
         },
     })
 }
 
+fn route(line: usize, args: &[Word<'_>]) -> Result<Route, Error> {
+    let repeat = args[4];
+    Ok(Route {
+        name: name(line, args[0], false)?,
+        host: name(line, args[1], false)?,
+        prefix: prefix(line, args[2])?,
+        split: split_of(line, args[3])?,
+        repeat: Repeat::named(repeat.text)
+            .ok_or_else(|| expected(line, repeat, "once, repeat or resume"))?,
+        stream: either(line, args[5], "stream", "plain")?,
+        open: either(line, args[6], "open", "keyed")?,
+        attempts: number(line, args[7], 1, u64::from(u32::MAX))? as u32,
+        timeout: number(line, args[8], 1, u64::from(u32::MAX))?,
+        objective: number(line, args[9], 1, u64::from(u32::MAX))?,
+    })
+}
+
+fn prefix(line: usize, word: Word<'_>) -> Result<String, Error> {
+    match word.text.starts_with('/') && word.text.ends_with('/') {
+        true => Ok(word.text.to_owned()),
+        false => Err(expected(line, word, "a prefix between slashes")),
+    }
+}
+
+fn split_of(line: usize, word: Word<'_>) -> Result<Vec<Weight>, Error> {
+    let part = |text: &str| {
+        let (service, weight) = text.split_once(':')?;
+        let word = Word {
+            text: service,
+            column: word.column,
+        };
+        Some(Weight {
+            service: name(line, word, false).ok()?,
+            weight: weight.parse().ok()?,
+        })
+    };
+    let parts: Option<Vec<_>> = word.text.split(',').map(part).collect();
+    let parts = parts.filter(|parts| parts.iter().any(|part| part.weight > 0));
+    parts.ok_or_else(|| expected(line, word, "SERVICE:WEIGHT,... with a weight above zero"))
+}
+
+fn either(line: usize, word: Word<'_>, yes: &str, no: &str) -> Result<bool, Error> {
+    match word.text {
+        text if text == yes => Ok(true),
+        text if text == no => Ok(false),
+        _ => Err(expected(line, word, &format!("{yes} or {no}"))),
+    }
+}
+
+fn digest(line: usize, word: Word<'_>) -> Result<KeyDigest, Error> {
+    let hex = word.text.strip_prefix("sha256:").unwrap_or_default();
+    let plain = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    match hex.len() == 64 && hex.chars().all(plain) {
+        true => Ok(hex.to_owned()),
+        false => Err(expected(line, word, "sha256: and 64 hexadecimal digits")),
+    }
+}
+
+fn limit(line: usize, word: Word<'_>) -> Result<Limit, Error> {
+    Limit::named(word.text).ok_or_else(|| {
+        let names: Vec<_> = Limit::ALL.iter().map(Limit::to_string).collect();
+        expected(line, word, &names.join(", "))
+    })
+}
+
+#[cold]
+fn expected(line: usize, word: Word<'_>, what: &str) -> Error {
+    let detail = format!("{:?} is not {what}", word.text);
+    syntax(line, word.column, detail)
+}
+
 fn number(line: usize, word: Word<'_>, min: u64, max: u64) -> Result<u64, Error> {
     match word.text.parse() {
         Ok(value) if (min..=max).contains(&value) => Ok(value),
@@ -256,6 +353,10 @@
             service, account, ..
         } => format!("share {service} {account}"),
         Rule::Target { target, .. } => format!("target {target}"),
+        Rule::Route(route) => format!("route {} {}", route.host, route.prefix),
+        Rule::Key { digest, .. } => format!("key {digest}"),
+        Rule::Limit { limit, .. } => format!("limit {limit}"),
+        Rule::Engine { service, .. } => format!("engine {service}"),
         other => other.to_string(),
     }
 }
--- a/src/rules/print.rs
+++ b/src/rules/print.rs
@@ -47,6 +47,14 @@
             } => write!(f, "write {service} {method} {path}"),
             Rule::Target { service, target } => write!(f, "target {service} {target}"),
             Rule::Leaving { target } => write!(f, "leaving {target}"),
+            Rule::Route(route) => route.fmt(f),
+            Rule::Key { account, digest } => write!(f, "key {account} sha256:{digest}"),
+            Rule::Limit { limit, value } => write!(f, "limit {limit} {value}"),
+            Rule::Engine {
+                service,
+                slots,
+                memory,
+            } => write!(f, "engine {service} {slots} {memory}"),
         }
     }
 }
--- a/src/shell/admin.rs
+++ b/src/shell/admin.rs
@@ -92,7 +92,7 @@
     serve(listener, move |path| sidecar_page(&process, path)).await;
 }
 
-async fn serve(listener: TcpListener, page: impl Fn(&str) -> Option<Page> + 'static) {
+pub(super) async fn serve(listener: TcpListener, page: impl Fn(&str) -> Option<Page> + 'static) {
     let page = Rc::new(page);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -114,7 +114,7 @@
 }
 
 /// A status and a text.
-type Page = (StatusCode, Vec<u8>);
+pub(super) type Page = (StatusCode, Vec<u8>);
 
 fn respond(page: Option<Page>) -> Response<Body> {
     let (status, text) = page.unwrap_or((StatusCode::NOT_FOUND, b"not found\n".to_vec()));
@@ -123,14 +123,14 @@
     response
 }
 
-fn ready(yes: bool) -> Page {
+pub(super) fn ready(yes: bool) -> Page {
     match yes {
         true => (StatusCode::OK, b"ready\n".to_vec()),
         false => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
     }
 }
 
-fn json(value: &impl Serialize) -> Page {
+pub(super) fn json(value: &impl Serialize) -> Page {
     let mut text = serde_json::to_vec_pretty(value).expect("a status serializes into memory");
     text.push(b'\n');
     (StatusCode::OK, text)
--- a/src/shell/body.rs
+++ b/src/shell/body.rs
@@ -14,7 +14,10 @@
     Error, //
 };
 use futures_channel::mpsc::UnboundedReceiver;
-use futures_util::Stream;
+use futures_util::{
+    Stream,
+    stream::LocalBoxStream, //
+};
 use hyper::body::{
     Frame,
     SizeHint, //
@@ -62,6 +65,8 @@
     Full(Option<Bytes>),
     /// It arrives.
     Pending(Box<Pending>),
+    /// It arrives from a target that this process calls itself.
+    Relay(LocalBoxStream<'static, Result<Frame<Bytes>, Broken>>),
 }
 
 impl Body {
@@ -82,6 +87,7 @@
             Body::Full(bytes) => {
                 return Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))));
             }
+            Body::Relay(frames) => return frames.as_mut().poll_next(cx),
             Body::Pending(pending) => pending,
         };
         let reply = match pending.first.is_empty() {
@@ -113,7 +119,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Body::Pending(_) => SizeHint::default(),
+            Body::Pending(_) | Body::Relay(_) => SizeHint::default(),
         }
     }
 }
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -1,28 +1,35 @@
 //! The clock of a process, which tests can pause and advance.
+//!
+//! It counts the time for which a VM is suspended: a process that wakes up late must know
+//! how old its beliefs are.
 
 use std::{
     cell::Cell,
     time::{
         Duration,
-        Instant,
         SystemTime,
         UNIX_EPOCH, //
     }, //
 };
 
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
+
 use crate::ids::Time;
 
 /// A monotonic clock that starts at zero.
 #[derive(Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
     paused: Cell<Option<Time>>,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         Self {
-            start: Instant::now(),
+            start: boot_time(),
             paused: Cell::new(None),
         }
     }
@@ -31,7 +38,11 @@
 impl Clock {
     /// Returns the time since the clock's start.
     pub fn now(&self) -> Time {
-        self.paused.get().unwrap_or_else(|| self.start.elapsed())
+        self.paused.get().unwrap_or_else(|| self.elapsed())
+    }
+
+    fn elapsed(&self) -> Time {
+        boot_time().saturating_sub(self.start)
     }
 
     /// Stops the clock where it is.
@@ -58,7 +69,11 @@
     /// Returns the time from the Unix epoch to the clock's start.
     pub fn wall(&self) -> Duration {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-        wall.unwrap_or_default()
-            .saturating_sub(self.start.elapsed())
+        wall.unwrap_or_default().saturating_sub(self.elapsed())
     }
 }
+
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/src/shell/fields.rs
+++ b/src/shell/fields.rs
@@ -19,15 +19,30 @@
     "upgrade",
 ];
 
-/// Returns the end-to-end fields of a message.
-pub(super) fn forward(headers: &HeaderMap) -> Vec<(String, Bytes)> {
-    let listed: Vec<_> = headers
+/// Removes the fields that belong to one connection.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    for name in listed(headers) {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Returns the fields that the message lists as belonging to its connection.
+fn listed(headers: &HeaderMap) -> Vec<String> {
+    headers
         .get_all("connection")
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
+        .collect()
+}
+
+/// Returns the end-to-end fields of a message.
+pub(super) fn forward(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let listed = listed(headers);
     headers
         .iter()
         .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()))
--- /dev/null
+++ b/src/shell/gateway/log.rs
@@ -0,0 +1,35 @@
+//! The log lines of a gateway's decisions.
+
+use std::fmt;
+
+use crate::pool::Output;
+
+/// A decision as one line of key=value pairs.
+pub(super) struct Line<'a>(&'a Output);
+
+impl<'a> Line<'a> {
+    pub(super) fn of(out: &'a Output) -> Self {
+        Self(out)
+    }
+}
+
+impl fmt::Display for Line<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Output::Send {
+                sequence,
+                target,
+                waited,
+                expected,
+                unread,
+            } => write!(
+                f,
+                "event=place sequence={sequence} target={target:08x} waited_ms={} \
+                 expected_ms={} unread_tokens={unread}",
+                waited.as_millis(),
+                expected.as_millis(),
+            ),
+            other => write!(f, "event=decide decision={other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/shell/gateway/metrics.rs
@@ -0,0 +1,114 @@
+//! The counters and histograms of a gateway.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder,
+    Histogram,
+    HistogramOpts,
+    IntCounterVec,
+    IntGauge,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+
+/// The upper bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.5, 5.0, 15.0,
+];
+
+/// What a gateway counts.
+pub(super) struct Metrics {
+    registry: Registry,
+    outcomes: IntCounterVec,
+    faults: IntCounterVec,
+    wait: Histogram,
+    first: Histogram,
+    total: Histogram,
+    pub(super) active: IntGauge,
+    pub(super) generation: IntGauge,
+    pub(super) rules_age: IntGauge,
+}
+
+impl Metrics {
+    pub(super) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name, help, label| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label]);
+            let counter = counter.expect("the name and the label are valid");
+            let _ = registry.register(Box::new(counter.clone()));
+            counter
+        };
+        let histogram = |name, help| {
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(opts).expect("the buckets are in order");
+            let _ = registry.register(Box::new(histogram.clone()));
+            histogram
+        };
+        let gauge = |name, help| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            let _ = registry.register(Box::new(gauge.clone()));
+            gauge
+        };
+        Self {
+            outcomes: counter(
+                "redwingyard_requests_total",
+                "Requests that have ended, by outcome.",
+                "outcome",
+            ),
+            faults: counter(
+                "redwingyard_attempts_failed_total",
+                "Attempts at targets that failed, by fault.",
+                "fault",
+            ),
+            wait: histogram(
+                "redwingyard_wait_seconds",
+                "Time from arrival until a request was sent to a target.",
+            ),
+            first: histogram(
+                "redwingyard_first_byte_seconds",
+                "Time from arrival to the first byte of the answer.",
+            ),
+            total: histogram(
+                "redwingyard_total_seconds",
+                "Time from arrival to the end of the answer.",
+            ),
+            active: gauge("redwingyard_requests", "Requests that have not ended."),
+            generation: gauge("redwingyard_generation", "Generation in force."),
+            rules_age: gauge(
+                "redwingyard_rules_age_ms",
+                "Milliseconds since the rules in force were known to be the newest.",
+            ),
+            registry,
+        }
+    }
+
+    pub(super) fn outcome(&self, outcome: &str) {
+        self.outcomes.with_label_values(&[outcome]).inc();
+    }
+
+    pub(super) fn fault(&self, fault: &str) {
+        self.faults.with_label_values(&[fault]).inc();
+    }
+
+    pub(super) fn wait(&self, time: Duration) {
+        self.wait.observe(time.as_secs_f64());
+    }
+
+    pub(super) fn first(&self, time: Duration) {
+        self.first.observe(time.as_secs_f64());
+    }
+
+    pub(super) fn total(&self, time: Duration) {
+        self.total.observe(time.as_secs_f64());
+    }
+
+    /// Returns the metrics as text.
+    pub(super) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory does not fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/src/shell/gateway/mod.rs
@@ -0,0 +1,14 @@
+//! A gateway as a process: a router that sends to targets itself.
+
+mod call;
+mod events;
+mod front;
+mod log;
+mod metrics;
+mod peers;
+mod process;
+mod relay;
+mod serve;
+mod watch;
+
+pub use serve::GatewayProcess;
--- /dev/null
+++ b/src/shell/gateway/peers.rs
@@ -0,0 +1,210 @@
+//! The exchange among gateways: datagrams with loads and service, sent to all that are known.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    io,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
+
+use compio::{
+    net::UdpSocket,
+    time::sleep, //
+};
+
+use super::process::Process;
+use crate::{
+    ids::{
+        Incarnation,
+        Router,
+        Time,
+        id, //
+    },
+    settings::GatewaySettings,
+    wire::Beacon, //
+};
+
+/// The interval of the datagrams: a part of the shortest objective, so that loads are fresh
+/// when a request is placed.
+const BEACON_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time after which a gateway that says nothing is taken to be gone.
+const PEER_LIFE: Duration = Duration::from_millis(1_500);
+
+/// The interval at which all addresses that were ever known are tried.
+const SEED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 60_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    router: Router,
+    incarnation: Incarnation,
+    sequence: u64,
+    at: Time,
+}
+
+/// The other gateways that are known.
+#[derive(Debug)]
+pub(super) struct Peers {
+    own: SocketAddr,
+    seeds: RefCell<Vec<IpAddr>>,
+    heard: RefCell<BTreeMap<IpAddr, Heard>>,
+    sent: Cell<u64>,
+    seeded: Cell<Time>,
+}
+
+impl Peers {
+    pub(super) fn new(settings: &GatewaySettings) -> Self {
+        Self {
+            own: settings.peer,
+            seeds: RefCell::new(settings.peers().collect()),
+            heard: RefCell::default(),
+            sent: Cell::new(0),
+            seeded: Cell::new(Duration::ZERO),
+        }
+    }
+
+    /// Returns the number of gateways that are heard.
+    pub(super) fn len(&self) -> usize {
+        self.heard.borrow().len()
+    }
+
+    /// Notes a datagram and returns whether it is new.
+    fn note(&self, now: Time, from: IpAddr, beacon: &Beacon) -> bool {
+        let mut heard = self.heard.borrow_mut();
+        let known = heard.get(&from);
+        if known.is_some_and(|known| {
+            known.incarnation == beacon.incarnation && known.sequence >= beacon.sequence
+        }) {
+            return false;
+        }
+        if known.is_none() {
+            log::info!("event=peer-joined peer={from}");
+        }
+        if beacon.leaving {
+            heard.remove(&from);
+            log::info!("event=peer-left peer={from}");
+            return true;
+        }
+        let fresh = Heard {
+            router: beacon.router,
+            incarnation: beacon.incarnation,
+            sequence: beacon.sequence,
+            at: now,
+        };
+        heard.insert(from, fresh);
+        let mut seeds = self.seeds.borrow_mut();
+        for ip in beacon.peers.iter().chain([&from]) {
+            if *ip != self.own.ip() && !seeds.contains(ip) {
+                seeds.push(*ip);
+            }
+        }
+        true
+    }
+
+    fn expire(&self, now: Time) {
+        self.heard.borrow_mut().retain(|ip, heard| {
+            let lives = now < heard.at + PEER_LIFE;
+            if !lives {
+                let router = heard.router;
+                log::warn!("event=peer-lost peer={ip} router={router:08x}");
+            }
+            lives
+        });
+    }
+
+    /// Returns where the next datagram goes: to all that are heard, and now and then to all
+    /// that were ever named.
+    fn destinations(&self, now: Time) -> Vec<IpAddr> {
+        if now >= self.seeded.get() + SEED_INTERVAL {
+            self.seeded.set(now);
+            return self.seeds.borrow().clone();
+        }
+        self.heard.borrow().keys().copied().collect()
+    }
+}
+
+impl Process {
+    fn beacon(&self, leaving: bool) -> Beacon {
+        let pool = self.pool.borrow();
+        let sequence = self.peers.sent.get() + 1;
+        self.peers.sent.set(sequence);
+        Beacon {
+            router: id(&self.settings.name),
+            incarnation: self.incarnation,
+            sequence,
+            peers: self.peers.heard.borrow().keys().copied().collect(),
+            loads: pool.loads(),
+            usage: pool.usage(),
+            leaving,
+        }
+    }
+
+    fn take_beacon(&self, from: IpAddr, bytes: &[u8]) {
+        let beacon = match Beacon::decode(bytes) {
+            Ok(beacon) => beacon,
+            Err(err) => return log::warn!("event=beacon-refused peer={from} error=\"{err}\""),
+        };
+        let now = self.clock.now();
+        if self.peers.note(now, from, &beacon) {
+            let mut pool = self.pool.borrow_mut();
+            let (router, incarnation) = (beacon.router, beacon.incarnation);
+            pool.peer(now, router, incarnation, &beacon.loads, &beacon.usage);
+        }
+    }
+
+    async fn send_beacon(&self, socket: &UdpSocket, leaving: bool) {
+        let now = self.clock.now();
+        self.peers.expire(now);
+        let mut bytes = match self.beacon(leaving).encode() {
+            Ok(bytes) => bytes,
+            Err(err) => return log::error!("event=beacon-failed error=\"{err}\""),
+        };
+        for ip in self.peers.destinations(now) {
+            let to = SocketAddr::new(ip, self.peers.own.port());
+            // A lost datagram is followed by the next one.
+            let sent = socket.send_to(bytes, to).await;
+            bytes = sent.1;
+        }
+    }
+}
+
+/// Binds the socket for other gateways.
+pub(super) async fn bind(settings: &GatewaySettings) -> io::Result<Rc<UdpSocket>> {
+    Ok(Rc::new(UdpSocket::bind(settings.peer).await?))
+}
+
+/// Reads other gateways' datagrams.
+pub(super) async fn listen(process: Rc<Process>, socket: Rc<UdpSocket>) {
+    let mut buffer = Vec::with_capacity(MAX_DATAGRAM);
+    loop {
+        let received = socket.recv_from(buffer).await;
+        buffer = received.1;
+        match received.0 {
+            Ok((length, from)) => process.take_beacon(from.ip(), &buffer[..length]),
+            Err(err) => {
+                log::warn!("event=beacon-failed error=\"{err}\"");
+                sleep(BEACON_INTERVAL).await;
+            }
+        }
+        buffer.clear();
+    }
+}
+
+/// Sends this gateway's datagrams.
+pub(super) async fn speak(process: Rc<Process>, socket: Rc<UdpSocket>) {
+    loop {
+        process.send_beacon(&socket, process.is_stopping()).await;
+        sleep(BEACON_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/src/shell/gateway/process.rs
@@ -0,0 +1,295 @@
+//! The state that a gateway's tasks share.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use futures_channel::mpsc::{
+    UnboundedReceiver,
+    UnboundedSender,
+    unbounded, //
+};
+
+use super::{
+    log::Line,
+    metrics::Metrics,
+    peers::Peers, //
+};
+use crate::{
+    feed::{
+        Feed,
+        Listing, //
+    },
+    ids::{
+        Incarnation,
+        Sequence,
+        Target,
+        Time,
+        id, //
+    },
+    pool::{
+        Ask,
+        Fault,
+        Output,
+        Pool,
+        Refusal,
+        Seat,
+        Settings, //
+    },
+    rules::Rules,
+    settings::{
+        GatewaySettings,
+        Policy, //
+    },
+    shell::{
+        Clock,
+        dial::{
+            Connections,
+            DialLimits, //
+        }, //
+    }, //
+};
+
+/// The time that connecting to a target may take: some hundred round trips within a region,
+/// and short enough to try another target within an objective.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// What confirmed rules may be younger than the limit for keys: the time in which a request
+/// may have been on its way, and what the platform's clock may differ.
+const TRUST_MARGIN: Duration = Duration::from_millis(400);
+
+/// What the pool has decided about a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Order {
+    /// Send it to a target.
+    Send(Target),
+    /// Refuse it: it has not run.
+    Refuse(Refusal, Duration),
+    /// Give up the present attempt.
+    Abandon,
+    /// End it: its time is over.
+    Expire,
+}
+
+/// The state that a gateway's tasks share.
+pub(super) struct Process {
+    pub(super) settings: GatewaySettings,
+    pub(super) clock: Clock,
+    pub(super) incarnation: Incarnation,
+    pub(super) peers: Peers,
+    pub(super) metrics: Metrics,
+    pub(super) pool: RefCell<Pool>,
+    rules: RefCell<Rc<Rules>>,
+    feed: RefCell<Feed>,
+    orders: RefCell<HashMap<Sequence, UnboundedSender<Order>>>,
+    dials: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
+    confirmed: Cell<Option<Time>>,
+    stopping: Cell<Option<Time>>,
+}
+
+impl Process {
+    pub(super) fn new(settings: GatewaySettings) -> Self {
+        let pool = Settings {
+            domain: settings.domain.clone(),
+            baseline: settings.policy == Policy::Baseline,
+            retries: settings.retries,
+            seed: fastrand::u64(..),
+        };
+        Self {
+            peers: Peers::new(&settings),
+            clock: Clock::default(),
+            incarnation: fastrand::u64(1..),
+            metrics: Metrics::new(),
+            pool: RefCell::new(Pool::new(pool)),
+            rules: RefCell::default(),
+            feed: RefCell::default(),
+            orders: RefCell::default(),
+            dials: RefCell::default(),
+            confirmed: Cell::new(None),
+            stopping: Cell::new(None),
+            settings,
+        }
+    }
+
+    pub(super) fn rules(&self) -> Rc<Rules> {
+        self.rules.borrow().clone()
+    }
+
+    /// Puts rules in force, unless they are older than those that are.
+    pub(super) fn adopt(&self, rules: Rules) {
+        let (old, new) = (self.rules().generation(), rules.generation());
+        if new <= old {
+            return log::warn!("event=rules-refused generation={new} in_force={old}");
+        }
+        let entries = rules.entries().len();
+        log::info!("event=rules generation={new} replaced={old} lines={entries}");
+        *self.rules.borrow_mut() = Rc::new(rules);
+        self.reseat();
+    }
+
+    /// Takes in the targets that are registered.
+    pub(super) fn list(&self, list: Vec<Listing>, restored: bool) {
+        let now = self.clock.now();
+        let changes = self.feed.borrow_mut().update(now, list, restored);
+        for change in &changes {
+            log::info!("{change}");
+        }
+        if !changes.is_empty() {
+            self.reseat();
+        }
+    }
+
+    /// Notes that another target answered at a target's address.
+    pub(super) fn moved(&self, target: Target) {
+        let change = self.feed.borrow_mut().moved(target);
+        if let Some(change) = change {
+            log::info!("{change}");
+            self.reseat();
+        }
+    }
+
+    /// Tells the pool which targets may get requests.
+    fn reseat(&self) {
+        let rules = self.rules();
+        let feed = self.feed.borrow();
+        let seats = feed.serving().map(|listing| {
+            let service = id(&listing.service);
+            let engine = rules.engine(service);
+            Seat {
+                target: id(&listing.name),
+                service,
+                domain: listing.domain.clone(),
+                slots: engine.map_or(listing.slots, |(slots, _)| slots),
+                memory: engine.map_or(0, |(_, memory)| memory),
+                born: listing.born,
+            }
+        });
+        let seats: Vec<_> = seats.collect();
+        drop(feed);
+        let outs = self.pool.borrow_mut().seats(self.clock.now(), seats);
+        self.perform(outs);
+    }
+
+    pub(super) fn target(&self, target: Target) -> Option<Listing> {
+        self.feed.borrow().get(target).cloned()
+    }
+
+    /// Returns the connections to an address.
+    pub(super) fn dial(&self, address: SocketAddr) -> Rc<Connections> {
+        let limits = DialLimits {
+            connect: CONNECT_LIMIT,
+        };
+        let mut dials = self.dials.borrow_mut();
+        let new = || Rc::new(Connections::new(address, limits));
+        dials.entry(address).or_insert_with(new).clone()
+    }
+
+    /// Notes that the rules in force were the newest at a time.
+    pub(super) fn confirm(&self, at: Time) {
+        self.confirmed.set(Some(at));
+    }
+
+    /// Returns how long ago the rules were the newest, if they ever were.
+    pub(super) fn age(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.confirmed.get().map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns whether keys can be trusted: none of them was taken away long ago.
+    pub(super) fn is_trusted(&self) -> bool {
+        match (self.age(), self.settings.trust()) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(age), Some(limit)) => age + TRUST_MARGIN < limit,
+        }
+    }
+
+    /// Returns whether callers should be sent here.
+    pub(super) fn is_ready(&self) -> bool {
+        let serving = self.feed.borrow().serving().next().is_some();
+        self.rules().generation() > 0 && serving && self.is_trusted() && !self.is_stopping()
+    }
+
+    pub(super) fn stop(&self) {
+        self.stopping.set(Some(self.clock.now()));
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Takes a request in and returns where the decisions about it arrive.
+    pub(super) fn arrive(&self, ask: Ask) -> (Sequence, UnboundedReceiver<Order>) {
+        let (sender, receiver) = unbounded();
+        let arrived = self.pool.borrow_mut().arrive(self.clock.now(), ask);
+        let (sequence, outs) = arrived;
+        self.orders.borrow_mut().insert(sequence, sender);
+        self.perform(outs);
+        (sequence, receiver)
+    }
+
+    pub(super) fn first(&self, sequence: Sequence) {
+        let outs = self.pool.borrow_mut().first(self.clock.now(), sequence);
+        self.perform(outs);
+    }
+
+    pub(super) fn end(&self, sequence: Sequence, answered: bool) {
+        self.orders.borrow_mut().remove(&sequence);
+        let now = self.clock.now();
+        let outs = self.pool.borrow_mut().end(now, sequence, answered);
+        self.perform(outs);
+    }
+
+    /// Notes that an attempt has failed and returns whether it is to be tried again.
+    pub(super) fn retry(&self, sequence: Sequence, fault: Fault) -> bool {
+        let now = self.clock.now();
+        let outs = self.pool.borrow_mut().fail(now, sequence, fault);
+        self.perform(outs);
+        let again = self.pool.borrow_mut().may_repeat(sequence, fault);
+        if again {
+            let outs = self.pool.borrow_mut().again(now, sequence);
+            self.perform(outs);
+        }
+        again
+    }
+
+    pub(super) fn tick(&self) {
+        let outs = self.pool.borrow_mut().tick(self.clock.now());
+        self.perform(outs);
+    }
+
+    fn perform(&self, outs: Vec<Output>) {
+        for out in outs {
+            let (sequence, order) = match out {
+                Output::Send {
+                    sequence,
+                    target,
+                    waited,
+                    ..
+                } => {
+                    self.metrics.wait(waited);
+                    log::debug!("{}", Line::of(&out));
+                    (sequence, Order::Send(target))
+                }
+                Output::Refuse {
+                    sequence,
+                    cause,
+                    retry,
+                } => (sequence, Order::Refuse(cause, retry)),
+                Output::Abandon { sequence } => (sequence, Order::Abandon),
+                Output::Expire { sequence } => (sequence, Order::Expire),
+            };
+            if let Some(sender) = self.orders.borrow().get(&sequence) {
+                // The request's task has ended where this fails, and says so itself.
+                let _ = sender.unbounded_send(order);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/shell/gateway/serve.rs
@@ -0,0 +1,251 @@
+//! The listeners of a gateway, its start and its graceful shutdown.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use compio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    runtime::spawn,
+    time::sleep, //
+};
+use cyper_core::HyperStream;
+use futures_channel::oneshot;
+use futures_util::future::{
+    Either,
+    select, //
+};
+use hyper::{
+    Request,
+    StatusCode,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use serde::Serialize;
+
+use super::{
+    front,
+    peers,
+    process::Process,
+    watch::watch, //
+};
+use crate::{
+    rules::Limit,
+    settings::GatewaySettings,
+    shell::{
+        StartError,
+        admin, //
+    }, //
+};
+
+/// The interval of the pool's timers.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The time after a stop is asked for in which callers may still come: two readiness checks a
+/// second apart, and the time until the second one is acted on.
+const LAST_CALLERS: Duration = Duration::from_millis(2_600);
+
+/// The time that is kept at the end of a stop for the process to end.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// The largest head where no rule sets a limit, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+
+/// A running gateway.
+pub struct GatewayProcess {
+    process: Rc<Process>,
+    door: Rc<Door>,
+    /// The address for callers.
+    pub http: SocketAddr,
+    /// The address for operators.
+    pub admin: SocketAddr,
+}
+
+/// The callers' connections.
+#[derive(Default)]
+struct Door {
+    open: Cell<usize>,
+    closed: Cell<bool>,
+    stops: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+/// What `redwingyard status` prints of a gateway.
+#[derive(Serialize)]
+struct Status {
+    name: String,
+    generation: u64,
+    digest: String,
+    rules_age_ms: Option<u64>,
+    ready: bool,
+    peers: usize,
+    requests: usize,
+    waiting: Vec<(String, usize)>,
+}
+
+impl GatewayProcess {
+    /// Starts a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address can't be bound.
+    pub async fn start(settings: GatewaySettings) -> Result<Self, StartError> {
+        let listener = TcpListener::bind(settings.http).await?;
+        let admin = TcpListener::bind(settings.admin).await?;
+        let socket = peers::bind(&settings).await?;
+        let name = settings.name.clone();
+        let process = Rc::new(Process::new(settings));
+        let door = Rc::new(Door::default());
+        let running = Self {
+            http: listener.local_addr()?,
+            admin: admin.local_addr()?,
+            process: process.clone(),
+            door: door.clone(),
+        };
+        log::info!(
+            "event=start role=gateway name={name} version={} incarnation={:x} http={} admin={}",
+            env!("CARGO_PKG_VERSION"),
+            process.incarnation,
+            running.http,
+            running.admin,
+        );
+        spawn(accept(process.clone(), door, listener)).detach();
+        spawn(peers::listen(process.clone(), socket.clone())).detach();
+        spawn(peers::speak(process.clone(), socket)).detach();
+        spawn(watch(process.clone())).detach();
+        spawn(tick(process.clone())).detach();
+        spawn(admin::serve(admin, move |path| page(&process, path))).detach();
+        Ok(running)
+    }
+
+    /// Stops gracefully; returns whether every request has ended in time.
+    ///
+    /// The platform first stops sending callers here; then no connection is taken; then the
+    /// requests that are left end.
+    pub async fn drain(self) -> bool {
+        let begun = self.process.clock.now();
+        let limit = self.process.settings.stop().saturating_sub(STOP_MARGIN);
+        self.process.stop();
+        let requests = self.process.pool.borrow().active();
+        log::info!(
+            "event=stopping requests={requests} connections={}",
+            self.door.open.get()
+        );
+        for stop in self.door.stops.borrow_mut().drain(..) {
+            // A connection that has closed already needs no word.
+            let _ = stop.send(());
+        }
+        let passed = || self.process.clock.now().saturating_sub(begun);
+        while passed() < LAST_CALLERS.min(limit) {
+            sleep(TICK_INTERVAL).await;
+        }
+        self.door.closed.set(true);
+        while self.door.open.get() > 0 && passed() < limit {
+            sleep(TICK_INTERVAL).await;
+        }
+        let left = self.door.open.get();
+        log::info!("event=stop connections={left}");
+        left == 0
+    }
+}
+
+async fn tick(process: Rc<Process>) {
+    loop {
+        sleep(TICK_INTERVAL).await;
+        process.tick();
+    }
+}
+
+async fn accept(process: Rc<Process>, door: Rc<Door>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok(_) if door.closed.get() => return,
+            Ok((stream, _)) => {
+                let process = process.clone();
+                let door = door.clone();
+                spawn(converse(process, door, stream)).detach();
+            }
+            Err(err) => {
+                log::warn!("event=accept-failed error=\"{err}\"");
+                sleep(TICK_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of a caller until it ends.
+async fn converse(process: Rc<Process>, door: Rc<Door>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let limit = process.rules().limit(Limit::HeaderBytes);
+    let most = limit.map_or(MAX_HEAD, |limit| limit as usize);
+    let stopping = process.is_stopping();
+    let service = service_fn(|request: Request<Incoming>| {
+        let process = process.clone();
+        async move { Ok::<_, Infallible>(front::handle(process, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .keep_alive(!stopping)
+        .max_buf_size(most.max(MAX_HEAD))
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let (stop, stopped) = oneshot::channel();
+    if !stopping {
+        let mut stops = door.stops.borrow_mut();
+        stops.retain(|stop| !stop.is_canceled());
+        stops.push(stop);
+    }
+    door.open.set(door.open.get() + 1);
+    let connection = std::pin::pin!(connection);
+    if let Either::Right((Ok(()), mut connection)) = select(connection, stopped).await {
+        connection.as_mut().graceful_shutdown();
+        // How a connection ends is the caller's to choose.
+        let _ = connection.await;
+    }
+    door.open.set(door.open.get() - 1);
+}
+
+fn page(process: &Process, path: &str) -> Option<admin::Page> {
+    Some(match path {
+        "/healthz" => (StatusCode::OK, b"ok\n".to_vec()),
+        "/readyz" => admin::ready(process.is_ready()),
+        "/status" => admin::json(&status(process)),
+        "/metrics" => (StatusCode::OK, metrics(process)),
+        _ => return None,
+    })
+}
+
+fn status(process: &Process) -> Status {
+    let rules = process.rules();
+    let pool = process.pool.borrow();
+    let waiting = pool.waiting();
+    Status {
+        name: process.settings.name.clone(),
+        generation: rules.generation(),
+        digest: format!("{:016x}", rules.digest()),
+        rules_age_ms: process.age().map(|age| age.as_millis() as u64),
+        ready: process.is_ready(),
+        peers: process.peers.len(),
+        requests: pool.active(),
+        waiting: waiting
+            .map(|(service, count)| (rules.name(service).to_string(), count))
+            .collect(),
+    }
+}
+
+fn metrics(process: &Process) -> Vec<u8> {
+    let metrics = &process.metrics;
+    metrics.active.set(process.pool.borrow().active() as i64);
+    metrics.generation.set(process.rules().generation() as i64);
+    let age = process.age().map_or(-1, |age| age.as_millis() as i64);
+    metrics.rules_age.set(age);
+    metrics.text()
+}
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -3,8 +3,10 @@
 mod admin;
 mod body;
 mod clock;
+mod dial;
 mod fields;
 mod front;
+mod gateway;
 mod governor;
 mod link;
 mod platform;
@@ -15,6 +17,7 @@
 mod tls;
 
 pub use clock::Clock;
+pub use gateway::GatewayProcess;
 pub use link::LinkError;
 pub use platform::Vm;
 pub use router::{
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,8 +1,10 @@
 //! The typed messages between the system's own processes and their encoding.
 
+mod beacon;
 mod codec;
 mod message;
 
+pub use beacon::Beacon;
 pub use codec::{
     Decoder,
     Error,
