--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -196,6 +196,7 @@
     pub(super) sends: u32,
     pub(super) misses: u32,
     pub(super) tried: Vec<Target>,
+    events: u32,
     wake: Time,
 }
 
@@ -292,6 +293,7 @@
             sends: 0,
             misses: 0,
             tried: Vec::new(),
+            events: 0,
             wake: Duration::ZERO,
         };
         self.requests.insert(sequence, request);
@@ -331,10 +333,12 @@
             return Vec::new();
         };
         *read = true;
+        let left = request.ask.deadline.saturating_sub(now);
         if let Some(member) = self.members.get_mut(target) {
             if request.ask.prompt.is_some() {
                 let time = now.saturating_sub(*since);
                 member.pace.observe(claim.ahead, time);
+                member.batch.allow(left);
             }
             member.read(claim);
         }
@@ -344,6 +348,19 @@
         self.take()
     }
 
+    /// Notes further events of a stream.
+    pub fn events(&mut self, sequence: Sequence, count: u32) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        request.events += count;
+        if let Stage::Flying { target, .. } = request.stage
+            && let Some(member) = self.members.get_mut(&target)
+        {
+            member.batch.count(count);
+        }
+    }
+
     /// Ends a request that has been answered whole, or whose caller has gone.
     pub fn end(&mut self, now: Time, sequence: Sequence, answered: bool) -> Vec<Output> {
         let Some(request) = self.remove(sequence) else {
@@ -355,6 +372,7 @@
             member.release(claim);
             if answered {
                 member.health.succeed();
+                member.batch.finish(request.events);
             }
         }
         self.pump(now, request.ask.service);
--- a/src/pool/member.rs
+++ b/src/pool/member.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    Batch,
     Cache,
     Health,
     Pace,
@@ -34,6 +35,8 @@
         pub unread: u64,
         /// The tokens of engine memory that requests take.
         pub memory: u64,
+        /// The requests whose first byte has arrived.
+        pub streaming: u32,
     }
 }
 
@@ -46,6 +49,8 @@
     pub(super) memory: u64,
     /// The prompt tokens to read when it was sent, all requests together.
     pub(super) ahead: u64,
+    /// Whether the first byte has arrived.
+    pub(super) read: bool,
     /// The deepest shared part, with the tokens up to it.
     pub(super) shared: Option<(u64, u64)>,
 }
@@ -59,6 +64,7 @@
     pub(super) cache: Cache,
     pub(super) health: Health,
     pub(super) pace: Pace,
+    pub(super) batch: Batch,
     shared: HashMap<u64, u32>,
 }
 
@@ -74,6 +80,7 @@
             cache: Cache::new(kept),
             health: Health::default(),
             pace: Pace::default(),
+            batch: Batch::new(seat.slots),
             shared: HashMap::new(),
             seat,
         }
@@ -119,6 +126,7 @@
             unread,
             memory: (prompt.input + prompt.output).saturating_sub(shared_tokens),
             ahead: self.load().unread + unread,
+            read: false,
             shared,
         };
         self.own.unread += claim.unread;
@@ -138,11 +146,14 @@
     pub(super) fn read(&mut self, claim: &mut Claim) {
         self.own.unread = self.own.unread.saturating_sub(claim.unread);
         claim.unread = 0;
+        self.own.streaming += u32::from(!claim.read);
+        claim.read = true;
     }
 
     /// Counts a request that has ended.
     pub(super) fn release(&mut self, mut claim: Claim) {
         self.read(&mut claim);
+        self.own.streaming = self.own.streaming.saturating_sub(1);
         self.own.running = self.own.running.saturating_sub(1);
         self.own.memory = self.own.memory.saturating_sub(claim.memory);
         let Some((path, tokens)) = claim.shared else {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod ask;
+mod batch;
 mod cache;
 mod core;
 mod fair;
@@ -32,6 +33,7 @@
     Part,
     Prompt, //
 };
+pub use batch::Batch;
 pub use cache::Cache;
 pub use core::{
     Fault,
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -182,7 +182,7 @@
     let timely = waited + first <= ask.objective.mul_f64(DUE_PART);
     let needed = load.memory + prompt.input + prompt.output;
     let fits = needed as f64 <= member.seat.memory as f64 * MEMORY_PART || load.running == 0;
-    if load.running >= member.seat.slots || !fits || !(timely || load.unread < IDLE_TOKENS) {
+    if load.running >= member.batch.limit() || !fits || !(timely || load.unread < IDLE_TOKENS) {
         return None;
     }
     // Reading a part again takes time from others as well.
--- a/src/shell/gateway/events.rs
+++ b/src/shell/gateway/events.rs
@@ -11,6 +11,13 @@
 /// The field with an event's name.
 const ID: &[u8] = b"id:";
 
+/// Returns the number of events that end in a piece of a stream.
+pub(super) fn count(data: &[u8]) -> u32 {
+    data.windows(END.len())
+        .filter(|window| *window == END)
+        .count() as u32
+}
+
 /// A stream that is passed on in whole events only.
 #[derive(Debug, Default)]
 pub(super) struct Events {
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -240,6 +240,11 @@
         self.perform(outs);
     }
 
+    /// Counts events of a stream that are passed on.
+    pub(super) fn events(&self, sequence: Sequence, count: u32) {
+        self.pool.borrow_mut().events(sequence, count);
+    }
+
     pub(super) fn end(&self, sequence: Sequence, answered: bool) {
         self.orders.borrow_mut().remove(&sequence);
         let now = self.clock.now();
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -15,7 +15,10 @@
         Tried,
         race, //
     },
-    events::Events,
+    events::{
+        self,
+        Events, //
+    },
     process::Order, //
 };
 use crate::{
@@ -57,6 +60,8 @@
             None => data,
         };
         if !whole.is_empty() {
+            let count = events::count(&whole);
+            relay.call.process.events(relay.call.sequence, count);
             return Some((Ok(Frame::data(whole)), relay));
         }
         match relay.read().await {
