--- a/src/pool/cache.rs
+++ b/src/pool/cache.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Sets the tokens that the engine is believed to keep of this router's prompts.
+    pub fn resize(&mut self, capacity: u64) {
+        self.capacity = capacity;
+    }
+
     /// Forgets everything, as the engine has started again.
     pub fn clear(&mut self) {
         *self = Self::new(self.capacity);
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -19,12 +19,12 @@
     member::{
         Claim,
         Member, //
-    }, //
+    },
+    place::Choice, //
 };
 use crate::{
     ids::{
         Account,
-        Incarnation,
         Router,
         Sequence,
         Service,
@@ -94,6 +94,18 @@
     pub born: u64,
 }
 
+data! {
+    /// What a router has given to the accounts of a service lately.
+    pub struct Standing {
+        /// The service.
+        pub service: Service,
+        /// Service by account; it fades with time.
+        pub tallies: Vec<Tally>,
+        /// The accounts whose requests wait there or were refused just now.
+        pub pressed: Vec<Account>,
+    }
+}
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum Fault {
@@ -218,6 +230,7 @@
     pub(super) requests: HashMap<Sequence, Request>,
     pub(super) shares: HashMap<Account, u32>,
     pub(super) outs: Vec<Output>,
+    routers: BTreeMap<Router, Time>,
     timers: BTreeSet<(Time, Sequence)>,
     last: Sequence,
     rng: fastrand::Rng,
@@ -234,6 +247,7 @@
             requests: HashMap::new(),
             shares: HashMap::new(),
             outs: Vec::new(),
+            routers: BTreeMap::new(),
             timers: BTreeSet::new(),
             last: 0,
         }
@@ -304,8 +318,6 @@
         } else if lane.queue.wait(account) > hold {
             self.refuse(now, sequence, Refusal::Overload);
         } else {
-            let waiting: Vec<_> = lane.queue.lines().map(|(account, _)| account).collect();
-            lane.ledger.rise(account, waiting.into_iter());
             lane.queue.push(account, sequence);
             self.wake_at(sequence, now + hold);
             self.pump(now, service);
@@ -405,7 +417,7 @@
             }
         }
         if fault.is_unrun() {
-            self.lane(service).ledger.refund(account, work);
+            self.lane(service).ledger.refund(now, account, work);
         }
         self.pump(now, service);
         self.take()
@@ -459,25 +471,21 @@
     }
 
     /// Takes in what another router has at the targets and has given to accounts.
-    pub fn peer(
-        &mut self,
-        now: Time,
-        router: Router,
-        incarnation: Incarnation,
-        loads: &[Load],
-        usage: &[(Service, Vec<Tally>)],
-    ) {
+    pub fn peer(&mut self, now: Time, router: Router, loads: &[Load], standings: &[Standing]) {
+        self.routers.insert(router, now);
+        let routers = self.routers.len() + 1;
         for member in self.members.values_mut() {
             member.peers.remove(&router);
+            member.share_memory(routers);
         }
         for load in loads {
             if let Some(member) = self.members.get_mut(&load.target) {
                 member.peers.insert(router, (*load, now));
             }
         }
-        for (service, tallies) in usage {
-            let ledger = &mut self.lane(*service).ledger;
-            ledger.merge(router, incarnation, tallies);
+        for standing in standings {
+            let ledger = &mut self.lane(standing.service).ledger;
+            ledger.merge(now, router, &standing.tallies, &standing.pressed);
         }
     }
 
@@ -488,12 +496,20 @@
         members.map(|member| member.own).collect()
     }
 
-    /// Returns the service that this router has given, by service and account.
-    pub fn usage(&self) -> Vec<(Service, Vec<Tally>)> {
-        let lanes = self.lanes.iter();
-        lanes
-            .map(|(service, lane)| (*service, lane.ledger.tallies()))
-            .collect()
+    /// Returns what this router has given to accounts lately, and whose requests wait here.
+    pub fn standings(&self, now: Time) -> Vec<Standing> {
+        let standing = |(service, lane): (&Service, &Lane)| {
+            let waiting = lane.queue.lines().map(|(account, _)| account);
+            let mut pressed: Vec<_> = waiting.chain(lane.ledger.refused(now)).collect();
+            pressed.sort_unstable();
+            pressed.dedup();
+            Standing {
+                service: *service,
+                tallies: lane.ledger.tallies(now),
+                pressed,
+            }
+        };
+        self.lanes.iter().map(standing).collect()
     }
 
     /// Returns the requests that have not ended.
@@ -565,6 +581,7 @@
             return;
         };
         let ask = &request.ask;
+        self.lane(ask.service).ledger.press(now, ask.account);
         let expected = self
             .lanes
             .get(&ask.service)
@@ -601,13 +618,18 @@
     }
 
     /// Notes that a request is sent.
-    pub(super) fn send(&mut self, now: Time, sequence: Sequence, target: Target, first: Duration) {
+    pub(super) fn send(&mut self, now: Time, sequence: Sequence, choice: Choice) {
+        let Choice {
+            target,
+            first,
+            unread,
+            ..
+        } = choice;
         let work = self.work(sequence);
         let request = self.requests.get_mut(&sequence).expect("it is kept");
         let ask = &request.ask;
         let member = self.members.get_mut(&target).expect("it was chosen");
-        let claim = member.claim(ask.prompt.as_ref());
-        let unread = claim.unread;
+        let claim = member.claim(ask.prompt.as_ref(), unread);
         request.stage = Stage::Flying {
             target,
             claim,
@@ -621,7 +643,7 @@
         let lane = self.lane(service);
         lane.queue.remove(account, sequence);
         lane.queue.note_departure(now);
-        lane.ledger.charge(account, work);
+        lane.ledger.charge(now, account, work);
         self.wake_at(sequence, wake);
         self.outs.push(Output::Send {
             sequence,
--- a/src/pool/member.rs
+++ b/src/pool/member.rs
@@ -21,7 +21,7 @@
 
 /// The part of an engine's memory that prompts are believed to stay in after their use; the
 /// rest is taken by what runs.
-const KEPT_PART: f64 = 0.5;
+const KEPT_PART: f64 = 0.4;
 
 data! {
     /// What one router has at a target.
@@ -70,20 +70,27 @@
 
 impl Member {
     pub(super) fn new(seat: Seat) -> Self {
-        let kept = (seat.memory as f64 * KEPT_PART) as u64;
-        Self {
+        let mut member = Self {
             own: Load {
                 target: seat.target,
                 ..Load::default()
             },
             peers: BTreeMap::new(),
-            cache: Cache::new(kept),
+            cache: Cache::default(),
             health: Health::default(),
             pace: Pace::default(),
             batch: Batch::new(seat.slots),
             shared: HashMap::new(),
             seat,
-        }
+        };
+        member.share_memory(1);
+        member
+    }
+
+    /// Sets how many routers' prompts push each other out of the target's memory.
+    pub(super) fn share_memory(&mut self, routers: usize) {
+        let kept = self.seat.memory as f64 * KEPT_PART / routers as f64;
+        self.cache.resize(kept as u64);
     }
 
     /// Takes in what the feed says now; a target that has started again has forgotten all.
@@ -106,18 +113,12 @@
         load
     }
 
-    /// Returns the prompt tokens that the target would have to read.
-    pub(super) fn unread(&self, prompt: &Prompt) -> u64 {
-        prompt.input.saturating_sub(self.cache.kept(&prompt.parts))
-    }
-
     /// Counts a request that is sent.
-    pub(super) fn claim(&mut self, prompt: Option<&Prompt>) -> Claim {
+    pub(super) fn claim(&mut self, prompt: Option<&Prompt>, unread: u64) -> Claim {
         self.own.running += 1;
         let Some(prompt) = prompt else {
             return Claim::default();
         };
-        let unread = self.unread(prompt);
         let shared = prompt
             .shared()
             .map(|part| (part.path, prompt.shared_tokens()));
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -41,7 +41,8 @@
     Pool,
     Refusal,
     Seat,
-    Settings, //
+    Settings,
+    Standing, //
 };
 pub use fair::Ledger;
 pub use health::Health;
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -5,6 +5,7 @@
 //! decides who that is. Below capacity, prompts go where their parts are kept.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeSet,
     time::Duration, //
 };
@@ -12,6 +13,7 @@
 use super::{
     Ask,
     Pool,
+    Prompt,
     core::{
         Request,
         Stage, //
@@ -33,12 +35,16 @@
 pub(super) const HOLD_PART: f64 = 0.45;
 
 /// The part of the objective in which the first byte must be expected.
-const DUE_PART: f64 = 0.85;
+const DUE_PART: f64 = 0.8;
 
 /// The tokens that an engine may have to read before a prompt that is too long to be read in
 /// time anywhere: one chunk of today's engines.
 const IDLE_TOKENS: u64 = 4_096;
 
+/// The part of an engine that is open to accounts that are ahead of others that wait, at this
+/// router or another one; the rest is left for those.
+const AHEAD_PART: f64 = 0.75;
+
 /// The part of an engine's memory that is planned for; beyond it the engine preempts.
 const MEMORY_PART: f64 = 0.9;
 
@@ -48,8 +54,13 @@
 /// What a target that always fails costs, in milliseconds of waiting.
 const FAILING_COST: f64 = 2_000.0;
 
-/// The part of the shared tokens that the engine to which they hash is presumed to keep.
-const PRESUMED_PART: f64 = 0.5;
+/// The parts of the shared tokens that the engines to which they hash are presumed to keep,
+/// by rank: other routers send there as well.
+const PRESUMED_PARTS: [f64; 2] = [0.9, 0.4];
+
+/// How much more than its own time it counts to read a shared part again: the tokens take
+/// time from other requests, and push out parts that others share.
+const REREAD_COST: f64 = 3.0;
 
 /// The requests of a plain target for each of its slots; more would wait too long there.
 const PLAIN_FILL: u32 = 2;
@@ -60,21 +71,27 @@
 /// The requests of one account that are looked at for one that can be sent.
 const LOOK_AHEAD: usize = 8;
 
+/// The targets where the shared part of a prompt is at home.
+type Homes = [Option<Target>; PRESUMED_PARTS.len()];
+
 /// A target that can take a request now.
-struct Choice {
-    target: Target,
+pub(super) struct Choice {
+    pub(super) target: Target,
     cost: f64,
-    first: Duration,
+    /// The expected time to the first byte.
+    pub(super) first: Duration,
+    /// The prompt tokens that it is expected to read.
+    pub(super) unread: u64,
 }
 
 impl Pool {
     /// Sends waiting requests of a service while targets can take them.
     pub(super) fn pump(&mut self, now: Time, service: Service) {
         let mut blocked = BTreeSet::new();
-        while let Some(account) = self.next_account(service, &blocked) {
+        while let Some(account) = self.next_account(now, service, &blocked) {
             match self.next_request(now, service, account) {
                 Some((sequence, choice)) => {
-                    self.send(now, sequence, choice.target, choice.first);
+                    self.send(now, sequence, choice);
                 }
                 // Capacity only shrinks in this loop.
                 None => {
@@ -85,7 +102,12 @@
     }
 
     /// Returns the account that has had the least service of those that wait.
-    fn next_account(&self, service: Service, blocked: &BTreeSet<Account>) -> Option<Account> {
+    fn next_account(
+        &self,
+        now: Time,
+        service: Service,
+        blocked: &BTreeSet<Account>,
+    ) -> Option<Account> {
         let lane = self.lanes.get(&service)?;
         let lines = lane.queue.lines();
         let able = lines.filter(|(account, _)| !blocked.contains(account));
@@ -94,7 +116,7 @@
             return first.map(|(account, _)| account);
         }
         let accounts = able.map(|(account, _)| account);
-        accounts.min_by_key(|account| lane.ledger.usage(*account))
+        accounts.min_by_key(|account| lane.ledger.usage(now, *account))
     }
 
     fn next_request(
@@ -104,16 +126,19 @@
         account: Account,
     ) -> Option<(Sequence, Choice)> {
         let lane = self.lanes.get(&service)?;
+        let waiting = lane.queue.lines().map(|(account, _)| account);
+        let bound = lane.ledger.bound(now, waiting);
+        let ahead = lane.ledger.usage(now, account) > bound;
         let (_, line) = lane.queue.lines().find(|(other, _)| *other == account)?;
         let mut sequences = line.iter().take(LOOK_AHEAD);
         sequences.find_map(|sequence| {
             let request = &self.requests[sequence];
-            Some((*sequence, self.choose(now, request)?))
+            Some((*sequence, self.choose(now, request, ahead)?))
         })
     }
 
     /// Returns the best target that can take a request now.
-    fn choose(&self, now: Time, request: &Request) -> Option<Choice> {
+    fn choose(&self, now: Time, request: &Request, ahead: bool) -> Option<Choice> {
         debug_assert!(matches!(request.stage, Stage::Waiting));
         let lane = self.lanes.get(&request.ask.service)?;
         let members = lane
@@ -128,11 +153,11 @@
         let members = if trusted.is_empty() { &fresh } else { &trusted };
         let failing = members.iter().map(|member| member.health.failing());
         let least = failing.fold(1.0, f64::min);
-        let home = self.home(&request.ask, members);
+        let homes = self.homes(&request.ask, members);
         let choices = members.iter().filter_map(|member| {
             let mut choice = match self.settings.baseline {
                 true => least_busy(member),
-                false => self.consider(now, request, member, home)?,
+                false => self.consider(now, request, member, homes, ahead)?,
             };
             choice.cost += (member.health.failing() - least) * FAILING_COST;
             Some(choice)
@@ -140,11 +165,20 @@
         choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
-    /// Returns the engine to which the shared part of a prompt hashes at every router.
-    fn home(&self, ask: &Ask, members: &[&Member]) -> Option<Target> {
-        let part = ask.prompt.as_ref()?.shared()?;
-        let targets = members.iter().map(|member| member.seat.target);
-        targets.max_by_key(|target| weight(*target, part.path))
+    /// Returns the engines to which the shared part of a prompt hashes at every router, the
+    /// first one first.
+    fn homes(&self, ask: &Ask, members: &[&Member]) -> Homes {
+        let part = ask.prompt.as_ref().and_then(Prompt::shared);
+        let mut homes = Homes::default();
+        if let Some(part) = part {
+            let targets = members.iter().map(|member| member.seat.target);
+            let mut ranked: Vec<_> = targets.collect();
+            ranked.sort_by_key(|target| Reverse(weight(*target, part.path)));
+            for (home, target) in homes.iter_mut().zip(ranked) {
+                *home = Some(target);
+            }
+        }
+        homes
     }
 
     fn consider(
@@ -152,10 +186,11 @@
         now: Time,
         request: &Request,
         member: &Member,
-        home: Option<Target>,
+        homes: Homes,
+        ahead: bool,
     ) -> Option<Choice> {
         let mut choice = match &request.ask.prompt {
-            Some(_) if member.seat.memory > 0 => engine(now, request, member, home)?,
+            Some(_) if member.seat.memory > 0 => engine(now, request, member, homes, ahead)?,
             _ => plain(member)?,
         };
         if member.seat.domain != self.settings.domain {
@@ -166,31 +201,40 @@
 }
 
 /// Considers a model engine: its batch, its memory, and the time to the first event.
-fn engine(now: Time, request: &Request, member: &Member, home: Option<Target>) -> Option<Choice> {
+fn engine(
+    now: Time,
+    request: &Request,
+    member: &Member,
+    homes: Homes,
+    ahead: bool,
+) -> Option<Choice> {
     let ask = &request.ask;
     let prompt = ask.prompt.as_ref()?;
     let target = member.seat.target;
     let load = member.load();
-    let learnt = member.unread(prompt);
-    let presumed = match home == Some(target) {
-        true => (prompt.shared_tokens() as f64 * PRESUMED_PART) as u64,
-        false => 0,
-    };
-    let unread = learnt.min(prompt.input.saturating_sub(presumed));
+    let rank = homes.iter().position(|home| *home == Some(target));
+    let presumed = rank.map_or(0.0, |rank| PRESUMED_PARTS[rank]);
+    let shared = prompt.shared_tokens();
+    let kept = member.cache.kept(&prompt.parts);
+    let kept = kept.max((shared as f64 * presumed) as u64);
+    let unread = prompt.input.saturating_sub(kept);
     let first = member.pace.expect(load.unread + unread);
     let waited = now.saturating_sub(request.arrived);
-    let timely = waited + first <= ask.objective.mul_f64(DUE_PART);
+    let part = if ahead { AHEAD_PART } else { 1.0 };
+    let timely = waited + first <= ask.objective.mul_f64(DUE_PART * part);
+    let limit = f64::from(member.batch.limit()) * part;
     let needed = load.memory + prompt.input + prompt.output;
     let fits = needed as f64 <= member.seat.memory as f64 * MEMORY_PART || load.running == 0;
-    if load.running >= member.batch.limit() || !fits || !(timely || load.unread < IDLE_TOKENS) {
+    if f64::from(load.running) >= limit || !fits || !(timely || load.unread < IDLE_TOKENS) {
         return None;
     }
-    // Reading a part again takes time from others as well.
-    let cost = millis(first) + unread as f64 * member.pace.slope();
+    let again = shared.saturating_sub(kept) as f64;
+    let cost = millis(first) + again * member.pace.slope() * REREAD_COST;
     Some(Choice {
         target,
         cost,
         first,
+        unread,
     })
 }
 
@@ -206,6 +250,7 @@
         target: member.seat.target,
         cost: fill * PLAIN_COST,
         first: Duration::ZERO,
+        unread: 0,
     })
 }
 
@@ -215,5 +260,6 @@
         target: member.seat.target,
         cost: f64::from(member.own.running),
         first: Duration::ZERO,
+        unread: 0,
     }
 }
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -145,7 +145,7 @@
             sequence,
             peers: self.peers.heard.borrow().keys().copied().collect(),
             loads: pool.loads(),
-            usage: pool.usage(),
+            standings: pool.standings(self.clock.now()),
             leaving,
         }
     }
@@ -158,8 +158,7 @@
         let now = self.clock.now();
         if self.peers.note(now, from, &beacon) {
             let mut pool = self.pool.borrow_mut();
-            let (router, incarnation) = (beacon.router, beacon.incarnation);
-            pool.peer(now, router, incarnation, &beacon.loads, &beacon.usage);
+            pool.peer(now, beacon.router, &beacon.loads, &beacon.standings);
         }
     }
 
--- a/src/wire/beacon.rs
+++ b/src/wire/beacon.rs
@@ -2,17 +2,16 @@
 
 use std::net::IpAddr;
 
-use super::{
-    Error,
-    Tally, //
-};
+use super::Error;
 use crate::{
     ids::{
         Incarnation,
-        Router,
-        Service, //
+        Router, //
     },
-    pool::Load, //
+    pool::{
+        Load,
+        Standing, //
+    }, //
 };
 
 data! {
@@ -28,8 +27,8 @@
         pub peers: Vec<IpAddr>,
         /// What the sender has at each target.
         pub loads: Vec<Load>,
-        /// Service given since the sender's start, by service and account.
-        pub usage: Vec<(Service, Vec<Tally>)>,
+        /// What the sender has given to accounts lately.
+        pub standings: Vec<Standing>,
         /// Whether the sender is stopping.
         pub leaving: bool,
     }
