--- a/src/pool/batch.rs
+++ b/src/pool/batch.rs
@@ -14,7 +14,7 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// The part of the time that a request has in which a long stream should end.
-const TIME_PART: f64 = 0.7;
+const TIME_PART: f64 = 0.4;
 
 /// The quantile of the lengths of streams that counts as long.
 const LONG: f64 = 0.95;
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -165,6 +165,8 @@
         expected: Duration,
         /// The prompt tokens that the target is expected to read.
         unread: u64,
+        /// The target's rank among the homes of the prompt's shared part.
+        rank: Option<usize>,
     },
     /// Refuse a request, which has not run.
     Refuse {
@@ -623,6 +625,7 @@
             target,
             first,
             unread,
+            rank,
             ..
         } = choice;
         let work = self.work(sequence);
@@ -651,6 +654,7 @@
             waited,
             expected: first,
             unread,
+            rank,
         });
     }
 
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -82,6 +82,8 @@
     pub(super) first: Duration,
     /// The prompt tokens that it is expected to read.
     pub(super) unread: u64,
+    /// The target's rank among the homes of the prompt's shared part.
+    pub(super) rank: Option<usize>,
 }
 
 impl Pool {
@@ -235,6 +237,7 @@
         cost,
         first,
         unread,
+        rank,
     })
 }
 
@@ -251,6 +254,7 @@
         cost: fill * PLAIN_COST,
         first: Duration::ZERO,
         unread: 0,
+        rank: None,
     })
 }
 
@@ -261,5 +265,6 @@
         cost: f64::from(member.own.running),
         first: Duration::ZERO,
         unread: 0,
+        rank: None,
     }
 }
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -22,12 +22,14 @@
                 waited,
                 expected,
                 unread,
+                rank,
             } => write!(
                 f,
                 "event=place sequence={sequence} target={target:08x} waited_ms={} \
-                 expected_ms={} unread_tokens={unread}",
+                 expected_ms={} unread_tokens={unread} home_rank={}",
                 waited.as_millis(),
                 expected.as_millis(),
+                rank.map_or(-1, |rank| rank as i64),
             ),
             other => write!(f, "event=decide decision={other:?}"),
         }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -280,7 +280,7 @@
                     ..
                 } => {
                     self.metrics.wait(waited);
-                    log::debug!("{}", Line::of(&out));
+                    log::info!("{}", Line::of(&out));
                     (sequence, Order::Send(target))
                 }
                 Output::Refuse {
