Wait for the home engine of a large shared part

Cause: past capacity the first engine with room took the next request, wherever its shared part was kept. Ruled out: a higher price on reading again alone; at capacity there is no choice of engines.

--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -54,6 +54,13 @@
 /// What a target that always fails costs, in milliseconds of waiting.
 const FAILING_COST: f64 = 2_000.0;
 
+/// The shared tokens that are worth a wait for an engine that keeps them.
+const FAR_TOKENS: u64 = 1_000;
+
+/// The part of the objective that a request waits for an engine that keeps its shared part
+/// before it goes to any other (delay scheduling, Zaharia et al., EuroSys 2010).
+const HOME_WAIT: f64 = 0.2;
+
 /// The parts of the shared tokens that the engines to which they hash are presumed to keep,
 /// by rank: other routers send there as well.
 const PRESUMED_PARTS: [f64; 2] = [0.9, 0.4];
@@ -230,8 +237,11 @@
     if f64::from(load.running) >= limit || !fits || !(timely || load.unread < IDLE_TOKENS) {
         return None;
     }
-    let again = shared.saturating_sub(kept) as f64;
-    let cost = millis(first) + again * member.pace.slope() * REREAD_COST;
+    let again = shared.saturating_sub(kept);
+    if again >= FAR_TOKENS && waited < ask.objective.mul_f64(HOME_WAIT) {
+        return None;
+    }
+    let cost = millis(first) + again as f64 * member.pace.slope() * REREAD_COST;
     Some(Choice {
         target,
         cost,
