--- a/src/shell/dial.rs
+++ b/src/shell/dial.rs
@@ -16,7 +16,6 @@
     runtime::spawn,
     time::timeout, //
 };
-use cyper_core::HyperStream;
 use derive_more::{
     Display,
     Error,
@@ -29,8 +28,8 @@
     Response,
     body::Incoming,
     client::conn::http1::{
-        SendRequest,
-        handshake, //
+        Builder,
+        SendRequest, //
     }, //
 };
 use socket2::{
@@ -38,8 +37,13 @@
     TcpKeepalive, //
 };
 
-/// The idle connections that are kept.
-const MAX_IDLE: usize = 128;
+use super::stream::Stream;
+
+/// The size of a connection's read buffer, in bytes: some events of a stream.
+const READ_BUFFER: usize = 4 << 10;
+
+/// The idle connections that are kept: each takes memory at both ends.
+const MAX_IDLE: usize = 32;
 
 /// The idle time after which a connection is not used again where the peer names none: below
 /// the shortest idle limits in common use.
@@ -151,7 +155,10 @@
     /// Keeps a connection whose answer has been read to its end.
     pub(super) fn keep(&self, sender: Sender, headers: &HeaderMap) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE && !sender.is_closed() {
+        if idle.len() >= MAX_IDLE {
+            idle.pop_front();
+        }
+        if !sender.is_closed() {
             let until = Instant::now() + idle_limit(headers);
             idle.push_back(Idle { sender, until });
         }
@@ -162,7 +169,10 @@
             .await
             .map_err(|_| DialError::Slow)??;
         watch_silence(&stream)?;
-        let (sender, connection) = handshake(HyperStream::new_plain(stream)).await?;
+        let (sender, connection) = Builder::new()
+            .read_buf_exact_size(Some(READ_BUFFER))
+            .handshake(Stream::new(stream)?)
+            .await?;
         spawn(async move {
             // The request that breaks off reports the error.
             let _ = connection.await;
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -337,6 +337,10 @@
     fn deliver(mut self, mut answer: Answer) -> Response<Body> {
         self.process.first(self.sequence);
         self.process.metrics.first(self.took());
+        if !self.ask.resumable {
+            // It is not sent again.
+            self.ask.body = Bytes::new();
+        }
         strip(&mut answer.head.headers);
         let status = answer.head.status;
         // These say that the request has not run, which only the target's own mark can say.
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -19,7 +19,6 @@
     runtime::spawn,
     time::sleep, //
 };
-use cyper_core::HyperStream;
 use futures_channel::oneshot;
 use futures_util::future::{
     Either,
@@ -45,7 +44,8 @@
     settings::GatewaySettings,
     shell::{
         StartError,
-        admin, //
+        admin,
+        stream::Stream, //
     }, //
 };
 
@@ -62,6 +62,9 @@
 /// The largest head where no rule sets a limit, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
+/// The least read buffer that hyper takes, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+
 /// A running gateway.
 pub struct GatewayProcess {
     process: Rc<Process>,
@@ -186,6 +189,10 @@
 /// Serves one connection of a caller until it ends.
 async fn converse(process: Rc<Process>, door: Rc<Door>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
+    let stream = match Stream::new(stream) {
+        Ok(stream) => stream,
+        Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
+    };
     let limit = process.rules().limit(Limit::HeaderBytes);
     let most = limit.map_or(MAX_HEAD, |limit| limit as usize);
     let stopping = process.is_stopping();
@@ -195,8 +202,8 @@
     });
     let connection = http1::Builder::new()
         .keep_alive(!stopping)
-        .max_buf_size(most.max(MAX_HEAD))
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .max_buf_size(most.max(LEAST_BUFFER))
+        .serve_connection(stream, service);
     let (stop, stopped) = oneshot::channel();
     if !stopping {
         let mut stops = door.stops.borrow_mut();
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -13,6 +13,7 @@
 mod problem;
 mod router;
 mod sidecar;
+mod stream;
 mod target;
 mod tls;
 
--- /dev/null
+++ b/src/shell/stream.rs
@@ -0,0 +1,88 @@
+//! A connection as hyper reads and writes it.
+//!
+//! `cyper_core::HyperStream` does the same through a buffer for each direction; a gateway has
+//! thousands of connections in little memory, so here hyper's own buffers are the only ones.
+
+use std::{
+    io::{
+        self,
+        IoSlice, //
+    },
+    pin::Pin,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    }, //
+};
+
+use compio::{
+    net::TcpStream,
+    runtime::fd::PollFd, //
+};
+use hyper::rt::{
+    Read,
+    ReadBufCursor,
+    Write, //
+};
+use socket2::Socket;
+
+/// A connection without buffers of its own.
+#[derive(Debug)]
+pub(super) struct Stream(PollFd<Socket>);
+
+impl Stream {
+    /// Wraps a connection.
+    pub(super) fn new(stream: TcpStream) -> io::Result<Self> {
+        Ok(Self(stream.into_poll_fd()?))
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        // SAFETY: `recv` only writes to the buffer, and never makes it uninitialized.
+        let space = unsafe { buf.as_mut() };
+        let read = ready!(self.0.poll_read_with(cx, |socket| socket.recv(space)))?;
+        // SAFETY: `recv` has initialized that many bytes.
+        unsafe { buf.advance(read) };
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.0.poll_write_with(cx, |socket| socket.send(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.0
+            .poll_write_with(cx, |socket| socket.send_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.0.shutdown(std::net::Shutdown::Write) {
+            Err(err) if err.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
+            result => Poll::Ready(result),
+        }
+    }
+}
