--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -27,6 +27,7 @@
     Service,
     Target,
     Time,
+    Usage,
     weight, //
 };
 
@@ -41,9 +42,9 @@
 /// time anywhere: one chunk of today's engines.
 const IDLE_TOKENS: u64 = 4_096;
 
-/// The part of an engine that is open to accounts that are ahead of others that wait, at this
-/// router or another one; the rest is left for those.
-const AHEAD_PART: f64 = 0.75;
+/// The least part of an engine that is open to accounts that are ahead of others that wait, at
+/// this router or another one; the rest is left for those.
+const LEAST_OPEN: f64 = 0.5;
 
 /// The part of an engine's memory that is planned for; beyond it the engine preempts.
 const MEMORY_PART: f64 = 0.9;
@@ -137,17 +138,17 @@
         let lane = self.lanes.get(&service)?;
         let waiting = lane.queue.lines().map(|(account, _)| account);
         let bound = lane.ledger.bound(now, waiting);
-        let ahead = lane.ledger.usage(now, account) > bound;
+        let open = open_part(lane.ledger.usage(now, account), bound);
         let (_, line) = lane.queue.lines().find(|(other, _)| *other == account)?;
         let mut sequences = line.iter().take(LOOK_AHEAD);
         sequences.find_map(|sequence| {
             let request = &self.requests[sequence];
-            Some((*sequence, self.choose(now, request, ahead)?))
+            Some((*sequence, self.choose(now, request, open)?))
         })
     }
 
     /// Returns the best target that can take a request now.
-    fn choose(&self, now: Time, request: &Request, ahead: bool) -> Option<Choice> {
+    fn choose(&self, now: Time, request: &Request, open: f64) -> Option<Choice> {
         debug_assert!(matches!(request.stage, Stage::Waiting));
         let lane = self.lanes.get(&request.ask.service)?;
         let members = lane
@@ -166,7 +167,7 @@
         let choices = members.iter().filter_map(|member| {
             let mut choice = match self.settings.baseline {
                 true => least_busy(member),
-                false => self.consider(now, request, member, homes, ahead)?,
+                false => self.consider(now, request, member, homes, open)?,
             };
             choice.cost += (member.health.failing() - least) * FAILING_COST;
             Some(choice)
@@ -196,10 +197,10 @@
         request: &Request,
         member: &Member,
         homes: Homes,
-        ahead: bool,
+        open: f64,
     ) -> Option<Choice> {
         let mut choice = match &request.ask.prompt {
-            Some(_) if member.seat.memory > 0 => engine(now, request, member, homes, ahead)?,
+            Some(_) if member.seat.memory > 0 => engine(now, request, member, homes, open)?,
             _ => plain(member)?,
         };
         if member.seat.domain != self.settings.domain {
@@ -209,13 +210,22 @@
     }
 }
 
+/// Returns the part of an engine that is open to an account with some usage, where `bound` is
+/// the most that is not ahead.
+fn open_part(usage: Usage, bound: Usage) -> f64 {
+    if usage <= bound {
+        return 1.0;
+    }
+    (bound as f64 / usage as f64).sqrt().max(LEAST_OPEN)
+}
+
 /// Considers a model engine: its batch, its memory, and the time to the first event.
 fn engine(
     now: Time,
     request: &Request,
     member: &Member,
     homes: Homes,
-    ahead: bool,
+    open: f64,
 ) -> Option<Choice> {
     let ask = &request.ask;
     let prompt = ask.prompt.as_ref()?;
@@ -229,9 +239,8 @@
     let unread = prompt.input.saturating_sub(kept);
     let first = member.pace.expect(load.unread + unread);
     let waited = now.saturating_sub(request.arrived);
-    let part = if ahead { AHEAD_PART } else { 1.0 };
-    let timely = waited + first <= ask.objective.mul_f64(DUE_PART * part);
-    let limit = f64::from(member.batch.limit()) * part;
+    let timely = waited + first <= ask.objective.mul_f64(DUE_PART * open);
+    let limit = f64::from(member.batch.limit()) * open;
     let needed = load.memory + prompt.input + prompt.output;
     let fits = needed as f64 <= member.seat.memory as f64 * MEMORY_PART || load.running == 0;
     if f64::from(load.running) >= limit || !fits || !(timely || load.unread < IDLE_TOKENS) {
