--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -90,6 +90,8 @@
     max_body_bytes: Option<u64>,
     header_timeout_ms: Option<u64>,
     idle_timeout_ms: Option<u64>,
+    /// The throughput of all engines together: tokens read, and twice those generated.
+    tokens_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -168,6 +170,7 @@
             (Limit::BodyBytes, self.max_body_bytes),
             (Limit::HeaderTime, self.header_timeout_ms),
             (Limit::IdleTime, self.idle_timeout_ms),
+            (Limit::TokenRate, self.tokens_per_s.map(|rate| rate as u64)),
         ];
         let set = |(limit, value): (Limit, Option<u64>)| Some((limit, value?));
         all.into_iter().filter_map(set)
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -99,10 +99,10 @@
     pub struct Standing {
         /// The service.
         pub service: Service,
-        /// Service by account; it fades with time.
-        pub tallies: Vec<Tally>,
-        /// The accounts whose requests wait there or were refused just now.
-        pub pressed: Vec<Account>,
+        /// Service given, by account; it fades with time.
+        pub given: Vec<Tally>,
+        /// Service asked for, by account; it fades with time.
+        pub asked: Vec<Tally>,
     }
 }
 
@@ -231,6 +231,7 @@
     pub(super) members: BTreeMap<Target, Member>,
     pub(super) requests: HashMap<Sequence, Request>,
     pub(super) shares: HashMap<Account, u32>,
+    pub(super) rate: Option<u64>,
     pub(super) outs: Vec<Output>,
     routers: BTreeMap<Router, Time>,
     timers: BTreeSet<(Time, Sequence)>,
@@ -248,6 +249,7 @@
             members: BTreeMap::new(),
             requests: HashMap::new(),
             shares: HashMap::new(),
+            rate: None,
             outs: Vec::new(),
             routers: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -255,9 +257,11 @@
         }
     }
 
-    /// Sets the accounts' shares; an account without one has a share of one.
-    pub fn set_shares(&mut self, shares: HashMap<Account, u32>) {
+    /// Sets the accounts' shares, of which an account without one has one, and the tokens
+    /// that all engines together produce in a second, where that is known.
+    pub fn set_shares(&mut self, shares: HashMap<Account, u32>, rate: Option<u64>) {
         self.shares = shares;
+        self.rate = rate;
     }
 
     /// Takes in the targets that may get requests from now on; no other one gets any.
@@ -313,7 +317,9 @@
             wake: Duration::ZERO,
         };
         self.requests.insert(sequence, request);
+        let work = self.work(sequence);
         let lane = self.lane(service);
+        lane.ledger.ask(now, account, work);
         lane.budget.earn();
         if lane.members.is_empty() {
             self.refuse(now, sequence, Refusal::NoTarget);
@@ -487,7 +493,7 @@
         }
         for standing in standings {
             let ledger = &mut self.lane(standing.service).ledger;
-            ledger.merge(now, router, &standing.tallies, &standing.pressed);
+            ledger.merge(now, router, &standing.given, &standing.asked);
         }
     }
 
@@ -498,18 +504,12 @@
         members.map(|member| member.own).collect()
     }
 
-    /// Returns what this router has given to accounts lately, and whose requests wait here.
+    /// Returns what this router has given to accounts lately, and what they asked for.
     pub fn standings(&self, now: Time) -> Vec<Standing> {
-        let standing = |(service, lane): (&Service, &Lane)| {
-            let waiting = lane.queue.lines().map(|(account, _)| account);
-            let mut pressed: Vec<_> = waiting.chain(lane.ledger.refused(now)).collect();
-            pressed.sort_unstable();
-            pressed.dedup();
-            Standing {
-                service: *service,
-                tallies: lane.ledger.tallies(now),
-                pressed,
-            }
+        let standing = |(service, lane): (&Service, &Lane)| Standing {
+            service: *service,
+            given: lane.ledger.given(now),
+            asked: lane.ledger.asked(now),
         };
         self.lanes.iter().map(standing).collect()
     }
@@ -583,7 +583,6 @@
             return;
         };
         let ask = &request.ask;
-        self.lane(ask.service).ledger.press(now, ask.account);
         let expected = self
             .lanes
             .get(&ask.service)
--- a/src/pool/fair.rs
+++ b/src/pool/fair.rs
@@ -1,10 +1,7 @@
 //! The order among accounts, by the service that each has lately had from the whole fleet.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeMap,
     time::Duration, //
 };
 
@@ -22,16 +19,6 @@
 /// in which callers notice that others are served before them.
 const MEMORY: Duration = Duration::from_secs(4);
 
-/// The time for which an account that was refused counts as one that waits.
-const PRESSED: Duration = Duration::from_millis(1_000);
-
-/// The lead over the least served account that no one is held back for, in usage: some of
-/// the largest requests.
-const SLACK: Usage = 40_000;
-
-/// The lead beyond it, as a part of what the least served account has had.
-const LEAD: f64 = 0.2;
-
 /// Service that fades with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Fading {
@@ -55,8 +42,7 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     usage: BTreeMap<Account, Fading>,
-    pressed: BTreeSet<Account>,
-    heard: Time,
+    asked: BTreeMap<Account, Fading>,
 }
 
 /// The service that accounts have lately had, from this router and from the others.
@@ -66,8 +52,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     own: BTreeMap<Account, Fading>,
+    asked: BTreeMap<Account, Fading>,
     peers: BTreeMap<Router, Peer>,
-    refused: BTreeMap<Account, Time>,
 }
 
 impl Ledger {
@@ -95,40 +81,33 @@
             .add(now, -(usage as f64));
     }
 
-    /// Notes that a request of an account was refused for want of room.
-    pub fn press(&mut self, now: Time, account: Account) {
-        self.refused.insert(account, now);
+    /// Counts service that an account has asked for here, given or not.
+    pub fn ask(&mut self, now: Time, account: Account, usage: Usage) {
+        let asked = self.asked.entry(account).or_default();
+        asked.add(now, usage as f64);
     }
 
-    /// Takes in what another router has given lately, and whose requests wait there.
-    pub fn merge(&mut self, now: Time, router: Router, tallies: &[Tally], pressed: &[Account]) {
+    /// Takes in what another router has given lately, and what it was asked for.
+    pub fn merge(&mut self, now: Time, router: Router, given: &[Tally], asked: &[Tally]) {
         let fading = |tally: &Tally| {
             let usage = tally.usage as f64;
             (tally.account, Fading { usage, at: now })
         };
         let peer = Peer {
-            usage: tallies.iter().map(fading).collect(),
-            pressed: pressed.iter().copied().collect(),
-            heard: now,
+            usage: given.iter().map(fading).collect(),
+            asked: asked.iter().map(fading).collect(),
         };
         self.peers.insert(router, peer);
     }
 
     /// Returns what this router has given lately.
-    pub fn tallies(&self, now: Time) -> Vec<Tally> {
-        let tally = |(account, fading): (&Account, &Fading)| Tally {
-            account: *account,
-            usage: fading.at(now) as Usage,
-        };
-        let tallies = self.own.iter().map(tally);
-        tallies.filter(|tally| tally.usage > 0).collect()
+    pub fn given(&self, now: Time) -> Vec<Tally> {
+        tallies(now, &self.own)
     }
 
-    /// Returns the accounts that were refused here lately.
-    pub fn refused(&self, now: Time) -> impl Iterator<Item = Account> {
-        let lately = move |at: &Time| now < *at + PRESSED;
-        let refused = self.refused.iter().filter(move |(_, at)| lately(at));
-        refused.map(|(account, _)| *account)
+    /// Returns what this router was asked for lately.
+    pub fn asked(&self, now: Time) -> Vec<Tally> {
+        tallies(now, &self.asked)
     }
 
     /// Returns the service that an account has lately had.
@@ -138,16 +117,49 @@
         (of(&self.own) + peers) as Usage
     }
 
-    /// Returns the most service that an account may have had without being ahead of one that
-    /// waits, here among `waiting` or at another router.
-    pub fn bound(&self, now: Time, waiting: impl Iterator<Item = Account>) -> Usage {
-        let fresh = |peer: &&Peer| now < peer.heard + PRESSED;
-        let peers = self.peers.values().filter(fresh);
-        let elsewhere = peers.flat_map(|peer| peer.pressed.iter().copied());
-        let pressed = waiting.chain(self.refused(now)).chain(elsewhere);
-        let least = pressed.map(|account| self.usage(now, account)).min();
-        least.map_or(Usage::MAX, |least| {
-            least + SLACK + (least as f64 * LEAD) as Usage
-        })
+    /// Returns the service above which an account has had more than its share, where all
+    /// accounts together can have `rate` in a second.
+    ///
+    /// Accounts that ask for less than an even share leave the rest to the others (max-min
+    /// fairness).
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use redwingyard::pool::Ledger;
+    /// let mut ledger = Ledger::default();
+    /// for (account, asked) in [(1, 100), (2, 900), (3, 2_000)] {
+    ///     ledger.ask(Duration::ZERO, account, asked);
+    /// }
+    /// // What is counted of 4 s at 400 in a second is 1,600: 100 for one, 750 for each other.
+    /// assert_eq!(ledger.level(Duration::ZERO, 400), 750);
+    /// ```
+    pub fn level(&self, now: Time, rate: u64) -> Usage {
+        let peers = self.peers.values().map(|peer| &peer.asked);
+        let mut asked: BTreeMap<Account, f64> = BTreeMap::new();
+        for part in peers.chain([&self.asked]) {
+            for (account, fading) in part {
+                *asked.entry(*account).or_default() += fading.at(now);
+            }
+        }
+        let mut asked: Vec<_> = asked.into_values().collect();
+        asked.sort_by(f64::total_cmp);
+        let mut left = rate as f64 * MEMORY.as_secs_f64();
+        for (i, demand) in asked.iter().enumerate() {
+            let even = left / (asked.len() - i) as f64;
+            if *demand > even {
+                return even as Usage;
+            }
+            left -= demand;
+        }
+        Usage::MAX
     }
 }
+
+fn tallies(now: Time, fading: &BTreeMap<Account, Fading>) -> Vec<Tally> {
+    let tally = |(account, fading): (&Account, &Fading)| Tally {
+        account: *account,
+        usage: fading.at(now) as Usage,
+    };
+    let tallies = fading.iter().map(tally);
+    tallies.filter(|tally| tally.usage > 0).collect()
+}
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -42,10 +42,6 @@
 /// time anywhere: one chunk of today's engines.
 const IDLE_TOKENS: u64 = 4_096;
 
-/// The least part of an engine that is open to accounts that are ahead of others that wait, at
-/// this router or another one; the rest is left for those.
-const LEAST_OPEN: f64 = 0.5;
-
 /// The part of an engine's memory that is planned for; beyond it the engine preempts.
 const MEMORY_PART: f64 = 0.9;
 
@@ -97,9 +93,18 @@
 impl Pool {
     /// Sends waiting requests of a service while targets can take them.
     pub(super) fn pump(&mut self, now: Time, service: Service) {
+        let Some(lane) = self.lanes.get(&service) else {
+            return;
+        };
+        if lane.queue.is_empty() {
+            return;
+        }
+        let level = self
+            .rate
+            .map_or(Usage::MAX, |rate| lane.ledger.level(now, rate));
         let mut blocked = BTreeSet::new();
         while let Some(account) = self.next_account(now, service, &blocked) {
-            match self.next_request(now, service, account) {
+            match self.next_request(now, service, account, level) {
                 Some((sequence, choice)) => {
                     self.send(now, sequence, choice);
                 }
@@ -134,11 +139,10 @@
         now: Time,
         service: Service,
         account: Account,
+        level: Usage,
     ) -> Option<(Sequence, Choice)> {
         let lane = self.lanes.get(&service)?;
-        let waiting = lane.queue.lines().map(|(account, _)| account);
-        let bound = lane.ledger.bound(now, waiting);
-        let open = open_part(lane.ledger.usage(now, account), bound);
+        let open = open_part(lane.ledger.usage(now, account), level);
         let (_, line) = lane.queue.lines().find(|(other, _)| *other == account)?;
         let mut sequences = line.iter().take(LOOK_AHEAD);
         sequences.find_map(|sequence| {
@@ -210,13 +214,13 @@
     }
 }
 
-/// Returns the part of an engine that is open to an account with some usage, where `bound` is
-/// the most that is not ahead.
-fn open_part(usage: Usage, bound: Usage) -> f64 {
-    if usage <= bound {
+/// Returns the part of an engine that is open to an account with some usage, where `level` is
+/// an even share: the more it has had, the less, so that accounts ahead are told apart too.
+fn open_part(usage: Usage, level: Usage) -> f64 {
+    if usage <= level {
         return 1.0;
     }
-    (bound as f64 / usage as f64).sqrt().max(LEAST_OPEN)
+    1.0 / (1.0 + (usage as f64 / level.max(1) as f64).ln())
 }
 
 /// Considers a model engine: its batch, its memory, and the time to the first event.
--- a/src/rules/model.rs
+++ b/src/rules/model.rs
@@ -266,6 +266,13 @@
         }
     }
 
+    /// Returns the share of each account that a line gives one for every service.
+    pub fn shares(&self) -> HashMap<Account, u32> {
+        let accounts = self.accounts.keys();
+        let share = |account: &Account| (*account, self.share(id(ANY), *account));
+        accounts.map(share).collect()
+    }
+
     /// Returns the entry that makes a request non-idempotent.
     ///
     /// ```
--- a/src/rules/route.rs
+++ b/src/rules/route.rs
@@ -71,7 +71,7 @@
         pub objective: u64,
     }
 
-    /// Bounds on what callers send and on idle connections.
+    /// Bounds on what callers send, on idle connections and on what accounts share.
     #[derive(Copy, Display)]
     #[serde(rename_all = "snake_case")]
     pub enum Limit {
@@ -87,16 +87,21 @@
         /// The longest time that a connection stays idle, in milliseconds.
         #[display("idle-ms")]
         IdleTime,
+        /// The tokens that all engines together produce in a second: those read, and twice
+        /// those generated.
+        #[display("tokens-per-s")]
+        TokenRate,
     }
 }
 
 impl Limit {
     /// Every limit.
-    pub const ALL: [Limit; 4] = [
+    pub const ALL: [Limit; 5] = [
         Limit::HeaderBytes,
         Limit::BodyBytes,
         Limit::HeaderTime,
         Limit::IdleTime,
+        Limit::TokenRate,
     ];
 
     /// Returns the limit of that name.
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -43,7 +43,10 @@
         Seat,
         Settings, //
     },
-    rules::Rules,
+    rules::{
+        Limit,
+        Rules, //
+    },
     settings::{
         GatewaySettings,
         Policy, //
@@ -130,6 +133,8 @@
         }
         let entries = rules.entries().len();
         log::info!("event=rules generation={new} replaced={old} lines={entries}");
+        let rate = rules.limit(Limit::TokenRate);
+        self.pool.borrow_mut().set_shares(rules.shares(), rate);
         *self.rules.borrow_mut() = Rc::new(rules);
         self.reseat();
     }
