--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -96,6 +96,7 @@
 
 data! {
     /// What a router has given to the accounts of a service lately.
+    #[derive(Default)]
     pub struct Standing {
         /// The service.
         pub service: Service,
@@ -103,6 +104,8 @@
         pub given: Vec<Tally>,
         /// Service asked for, by account; it fades with time.
         pub asked: Vec<Tally>,
+        /// The accounts that were refused lately.
+        pub refused: Vec<Account>,
     }
 }
 
@@ -493,7 +496,7 @@
         }
         for standing in standings {
             let ledger = &mut self.lane(standing.service).ledger;
-            ledger.merge(now, router, &standing.given, &standing.asked);
+            ledger.merge(now, router, standing);
         }
     }
 
@@ -510,6 +513,7 @@
             service: *service,
             given: lane.ledger.given(now),
             asked: lane.ledger.asked(now),
+            refused: lane.ledger.refused(now),
         };
         self.lanes.iter().map(standing).collect()
     }
@@ -583,6 +587,7 @@
             return;
         };
         let ask = &request.ask;
+        self.lane(ask.service).ledger.refuse(now, ask.account);
         let expected = self
             .lanes
             .get(&ask.service)
--- a/src/pool/fair.rs
+++ b/src/pool/fair.rs
@@ -12,6 +12,7 @@
         Time,
         Usage, //
     },
+    pool::Standing,
     wire::Tally, //
 };
 
@@ -19,6 +20,9 @@
 /// in which callers notice that others are served before them.
 const MEMORY: Duration = Duration::from_secs(4);
 
+/// The time for which an account that was refused counts as one that is kept waiting.
+const PRESSED: Duration = Duration::from_secs(3);
+
 /// Service that fades with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Fading {
@@ -43,6 +47,8 @@
 struct Peer {
     usage: BTreeMap<Account, Fading>,
     asked: BTreeMap<Account, Fading>,
+    refused: Vec<Account>,
+    heard: Time,
 }
 
 /// The service that accounts have lately had, from this router and from the others.
@@ -54,6 +60,7 @@
     own: BTreeMap<Account, Fading>,
     asked: BTreeMap<Account, Fading>,
     peers: BTreeMap<Router, Peer>,
+    refused: BTreeMap<Account, Time>,
 }
 
 impl Ledger {
@@ -61,11 +68,13 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use redwingyard::{pool::Ledger, wire::Tally};
+    /// use redwingyard::{pool::{Ledger, Standing}, wire::Tally};
     /// let mut ledger = Ledger::default();
     /// ledger.charge(Duration::ZERO, 7, 40);
-    /// ledger.merge(Duration::ZERO, 1, &[Tally { account: 7, usage: 2 }], &[]);
-    /// ledger.merge(Duration::ZERO, 1, &[Tally { account: 7, usage: 2 }], &[]);
+    /// let given = vec![Tally { account: 7, usage: 2 }];
+    /// let standing = Standing { given, ..Standing::default() };
+    /// ledger.merge(Duration::ZERO, 1, &standing);
+    /// ledger.merge(Duration::ZERO, 1, &standing);
     /// assert_eq!(ledger.usage(Duration::ZERO, 7), 42);
     /// assert_eq!(ledger.usage(Duration::from_secs(4), 7), 15);
     /// ```
@@ -87,15 +96,39 @@
         asked.add(now, usage as f64);
     }
 
+    /// Notes that a request of an account was refused for want of room.
+    pub fn refuse(&mut self, now: Time, account: Account) {
+        self.refused.insert(account, now);
+    }
+
+    /// Returns the accounts that were refused here lately.
+    pub fn refused(&self, now: Time) -> Vec<Account> {
+        let lately = |(_, at): &(&Account, &Time)| now < **at + PRESSED;
+        let refused = self.refused.iter().filter(lately);
+        refused.map(|(account, _)| *account).collect()
+    }
+
+    /// Returns the least service that any account has had that was refused lately, here or at
+    /// another router.
+    pub fn least_refused(&self, now: Time) -> Option<Usage> {
+        let fresh = |peer: &&Peer| now < peer.heard + PRESSED;
+        let peers = self.peers.values().filter(fresh);
+        let elsewhere = peers.flat_map(|peer| peer.refused.iter().copied());
+        let refused = elsewhere.chain(self.refused(now));
+        refused.map(|account| self.usage(now, account)).min()
+    }
+
     /// Takes in what another router has given lately, and what it was asked for.
-    pub fn merge(&mut self, now: Time, router: Router, given: &[Tally], asked: &[Tally]) {
+    pub fn merge(&mut self, now: Time, router: Router, standing: &Standing) {
         let fading = |tally: &Tally| {
             let usage = tally.usage as f64;
             (tally.account, Fading { usage, at: now })
         };
         let peer = Peer {
-            usage: given.iter().map(fading).collect(),
-            asked: asked.iter().map(fading).collect(),
+            usage: standing.given.iter().map(fading).collect(),
+            asked: standing.asked.iter().map(fading).collect(),
+            refused: standing.refused.clone(),
+            heard: now,
         };
         self.peers.insert(router, peer);
     }
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -42,6 +42,10 @@
 /// time anywhere: one chunk of today's engines.
 const IDLE_TOKENS: u64 = 4_096;
 
+/// How much more than an account that was refused another one may have had and not be held
+/// back for it.
+const LEAD: f64 = 1.4;
+
 /// The part of an engine's memory that is planned for; beyond it the engine preempts.
 const MEMORY_PART: f64 = 0.9;
 
@@ -99,9 +103,10 @@
         if lane.queue.is_empty() {
             return;
         }
-        let level = self
-            .rate
-            .map_or(Usage::MAX, |rate| lane.ledger.level(now, rate));
+        let share = self.rate.map(|rate| lane.ledger.level(now, rate));
+        // Nobody is held back while those behind get all that they ask for.
+        let behind = lane.ledger.least_refused(now).unwrap_or(Usage::MAX);
+        let level = share.unwrap_or(0).max((behind as f64 * LEAD) as Usage);
         let mut blocked = BTreeSet::new();
         while let Some(account) = self.next_account(now, service, &blocked) {
             match self.next_request(now, service, account, level) {
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -337,6 +337,12 @@
     fn deliver(mut self, mut answer: Answer) -> Response<Body> {
         self.process.first(self.sequence);
         self.process.metrics.first(self.took());
+        log::info!(
+            "event=first request={} sequence={} took_ms={}",
+            self.ask.id,
+            self.sequence,
+            self.took().as_millis(),
+        );
         if !self.ask.resumable {
             // It is not sent again.
             self.ask.body = Bytes::new();
