--- a/src/cli/verbs.rs
+++ b/src/cli/verbs.rs
@@ -37,6 +37,7 @@
         self,
         GatewayProcess,
         KeyError,
+        Logs,
         RouterProcess,
         SidecarProcess, //
     }, //
@@ -200,8 +201,7 @@
     if matches.opt_present("check") {
         return Ok(());
     }
-    start_logs();
-    Runtime::new()?.block_on(async {
+    run_role(async {
         let process = RouterProcess::start(settings).await?;
         stop_signal().await?;
         ended(process.drain().await)
@@ -215,8 +215,7 @@
     if matches.opt_present("check") {
         return Ok(());
     }
-    start_logs();
-    Runtime::new()?.block_on(async {
+    run_role(async {
         let process = SidecarProcess::start(settings).await?;
         stop_signal().await?;
         ended(process.drain().await)
@@ -239,8 +238,7 @@
     if matches.opt_present("check") {
         return Ok(());
     }
-    start_logs();
-    Runtime::new()?.block_on(async {
+    run_role(async {
         compio::runtime::spawn(reload(path, settings.clone())).detach();
         let process = GatewayProcess::start(settings).await?;
         stop_signal().await?;
@@ -265,10 +263,11 @@
     }
 }
 
-fn start_logs() {
+fn start_logs() -> Logs {
+    let logs = Logs::default();
     let filter = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(filter)
-        .target(env_logger::Target::Stdout)
+        .target(env_logger::Target::Pipe(Box::new(logs.clone())))
         .format(|out, record| {
             let wall = SystemTime::now().duration_since(UNIX_EPOCH);
             let millis = wall.unwrap_or_default().as_millis();
@@ -276,6 +275,18 @@
             writeln!(out, "time_ms={millis} level={level} {}", record.args())
         })
         .init();
+    logs
+}
+
+/// Runs a role until it ends, with its log lines.
+fn run_role(role: impl Future<Output = Result<(), VerbError>>) -> Result<(), VerbError> {
+    let logs = start_logs();
+    let result = Runtime::new()?.block_on(async {
+        compio::runtime::spawn(logs.clone().run()).detach();
+        role.await
+    });
+    logs.finish();
+    result
 }
 
 async fn stop_signal() -> Result<(), VerbError> {
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -236,7 +236,7 @@
     pub(super) shares: HashMap<Account, u32>,
     pub(super) rate: Option<u64>,
     pub(super) outs: Vec<Output>,
-    routers: BTreeMap<Router, Time>,
+    pub(super) routers: BTreeMap<Router, Time>,
     timers: BTreeSet<(Time, Sequence)>,
     last: Sequence,
     rng: fastrand::Rng,
@@ -518,6 +518,12 @@
         self.lanes.iter().map(standing).collect()
     }
 
+    /// Returns the account of a request that has not ended.
+    pub fn account(&self, sequence: Sequence) -> Option<Account> {
+        let request = self.requests.get(&sequence)?;
+        Some(request.ask.account)
+    }
+
     /// Returns the requests that have not ended.
     pub fn active(&self) -> usize {
         self.requests.len()
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -82,6 +82,16 @@
 /// The targets where the shared part of a prompt is at home.
 type Homes = [Option<Target>; PRESUMED_PARTS.len()];
 
+/// What holds for a request at every target.
+struct Terms {
+    /// The homes of its prompt's shared part.
+    homes: Homes,
+    /// The part of an engine that is open to its account.
+    open: f64,
+    /// Whether other routers send to the same targets.
+    shared: bool,
+}
+
 /// A target that can take a request now.
 pub(super) struct Choice {
     pub(super) target: Target,
@@ -172,11 +182,15 @@
         let members = if trusted.is_empty() { &fresh } else { &trusted };
         let failing = members.iter().map(|member| member.health.failing());
         let least = failing.fold(1.0, f64::min);
-        let homes = self.homes(&request.ask, members);
+        let terms = Terms {
+            homes: self.homes(&request.ask, members),
+            open,
+            shared: !self.routers.is_empty(),
+        };
         let choices = members.iter().filter_map(|member| {
             let mut choice = match self.settings.baseline {
                 true => least_busy(member),
-                false => self.consider(now, request, member, homes, open)?,
+                false => self.consider(now, request, member, &terms)?,
             };
             choice.cost += (member.health.failing() - least) * FAILING_COST;
             Some(choice)
@@ -205,11 +219,10 @@
         now: Time,
         request: &Request,
         member: &Member,
-        homes: Homes,
-        open: f64,
+        terms: &Terms,
     ) -> Option<Choice> {
         let mut choice = match &request.ask.prompt {
-            Some(_) if member.seat.memory > 0 => engine(now, request, member, homes, open)?,
+            Some(_) if member.seat.memory > 0 => engine(now, request, member, terms)?,
             _ => plain(member)?,
         };
         if member.seat.domain != self.settings.domain {
@@ -229,34 +242,31 @@
 }
 
 /// Considers a model engine: its batch, its memory, and the time to the first event.
-fn engine(
-    now: Time,
-    request: &Request,
-    member: &Member,
-    homes: Homes,
-    open: f64,
-) -> Option<Choice> {
+fn engine(now: Time, request: &Request, member: &Member, terms: &Terms) -> Option<Choice> {
     let ask = &request.ask;
     let prompt = ask.prompt.as_ref()?;
     let target = member.seat.target;
     let load = member.load();
-    let rank = homes.iter().position(|home| *home == Some(target));
-    let presumed = rank.map_or(0.0, |rank| PRESUMED_PARTS[rank]);
+    let rank = terms.homes.iter().position(|home| *home == Some(target));
+    let presumed = match terms.shared {
+        true => rank.map_or(0.0, |rank| PRESUMED_PARTS[rank]),
+        false => 0.0,
+    };
     let shared = prompt.shared_tokens();
     let kept = member.cache.kept(&prompt.parts);
     let kept = kept.max((shared as f64 * presumed) as u64);
     let unread = prompt.input.saturating_sub(kept);
     let first = member.pace.expect(load.unread + unread);
     let waited = now.saturating_sub(request.arrived);
-    let timely = waited + first <= ask.objective.mul_f64(DUE_PART * open);
-    let limit = f64::from(member.batch.limit()) * open;
+    let timely = waited + first <= ask.objective.mul_f64(DUE_PART * terms.open);
+    let limit = f64::from(member.batch.limit()) * terms.open;
     let needed = load.memory + prompt.input + prompt.output;
     let fits = needed as f64 <= member.seat.memory as f64 * MEMORY_PART || load.running == 0;
     if f64::from(load.running) >= limit || !fits || !(timely || load.unread < IDLE_TOKENS) {
         return None;
     }
     let again = shared.saturating_sub(kept);
-    if again >= FAR_TOKENS && waited < ask.objective.mul_f64(HOME_WAIT) {
+    if rank != Some(0) && again >= FAR_TOKENS && waited < ask.objective.mul_f64(HOME_WAIT) {
         return None;
     }
     let cost = millis(first) + again as f64 * member.pace.slope() * REREAD_COST;
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod governor;
 mod link;
+mod logs;
 mod platform;
 mod problem;
 mod router;
@@ -20,6 +21,7 @@
 pub use clock::Clock;
 pub use gateway::GatewayProcess;
 pub use link::LinkError;
+pub use logs::Logs;
 pub use platform::Vm;
 pub use router::{
     RouterProcess,
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,150 @@
+//! The adapter: documents of the store, and header fields.
+
+use std::time::Duration;
+
+use hyper::header::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue, //
+};
+use redwingyard::{
+    ids::id,
+    platform::{
+        self,
+        Address,
+        Verdict, //
+    },
+    rules::{
+        self,
+        Repeat, //
+    }, //
+};
+use rstest::rstest;
+
+const CONFIG: &str = r#"{
+    "version": 7,
+    "routes": [
+        {"name": "r-1", "host": "a.example", "prefix": "/fit/", "kind": "streaming",
+         "timeoutMs": 15000, "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2,
+         "trafficSplit": [{"service": "llm", "weight": 90}, {"service": "web", "weight": 10}],
+         "anonymous": false, "sticky": true, "resumable": true, "gapAimMs": 400},
+        {"name": "r-2", "host": "a.example", "prefix": "/save/", "kind": "unsafe",
+         "timeoutMs": 1200, "targetLatencyMs": 150, "service": "web", "anonymous": true}
+    ],
+    "services": [
+        {"name": "llm", "engine": {"slots": 128, "kvCapacityTokens": 960364}},
+        {"name": "web", "maxConnections": 100}
+    ],
+    "limits": {"maxBodyBytes": 4194304, "tokensPerS": 430000},
+    "tenants": [{"name": "stall", "apiKeys": ["secret"]}],
+    "unknown": {"is": "ignored"}
+}"#;
+
+#[test]
+fn a_configuration_becomes_rules_that_name_their_origin() {
+    let text = platform::rules_text(CONFIG.as_bytes()).expect("it is a configuration");
+    let digest = rules::digest(b"secret");
+    let lines = [
+        "generation 7  # operator: version 7".to_owned(),
+        "limit body-bytes 4194304  # operator: version 7, limits".to_owned(),
+        "limit tokens-per-s 430000  # operator: version 7, limits".to_owned(),
+        "engine llm 128 960364  # operator: version 7, service llm".to_owned(),
+        "route r-1 a.example /fit/ llm:90,web:10 resume stream keyed 2 15000 600  \
+         # operator: version 7, route r-1"
+            .to_owned(),
+        "route r-2 a.example /save/ web:1 once plain open 1 1200 150  \
+         # operator: version 7, route r-2"
+            .to_owned(),
+        format!("key stall sha256:{digest}  # operator: version 7, tenant stall"),
+    ];
+    assert_eq!(text.lines().collect::<Vec<_>>(), lines);
+    assert!(!text.contains("secret"));
+    let rules = rules::from_str(&text).expect("the rules are valid");
+    assert_eq!(rules::to_string(&rules), text);
+    assert_eq!(rules.key_account(&digest), Some(id("stall")));
+    let route = rules.route("a.example", "/fit/7/x?y").expect("a route");
+    assert_eq!((route.repeat, route.attempts), (Repeat::Resume, 2));
+}
+
+struct Entry {
+    value: &'static str,
+    listed: bool,
+}
+
+#[rstest]
+#[case::ready(Entry {
+    value: r#"{"service":"llm","address":"10.0.0.9:80","zone":"a","slots":8,"state":"ready",
+               "sequence":4,"born":5}"#,
+    listed: true,
+})]
+#[case::no_service(Entry {
+    value: r#"{"address":"10.0.0.9:80","zone":"a","slots":8,"state":"ready"}"#,
+    listed: false,
+})]
+#[case::another_state(Entry {
+    value: r#"{"service":"llm","address":"10.0.0.9:80","zone":"a","slots":8,"state":"asleep"}"#,
+    listed: false,
+})]
+#[case::another_type(Entry {
+    value: r#"{"service":"llm","address":"10.0.0.9:80","zone":"a","slots":"8","state":"ready"}"#,
+    listed: false,
+})]
+#[case::no_document(Entry { value: "\u{1}", listed: false })]
+fn entries_of_other_writers_name_no_target(#[case] case: Entry) {
+    let listing = platform::listing("i-1", case.value.as_bytes());
+    assert_eq!(listing.is_some(), case.listed);
+}
+
+fn headers(fields: &[(&'static str, &'static str)]) -> HeaderMap {
+    let field = |(name, value): &(&'static str, &'static str)| {
+        let name = HeaderName::from_static(name);
+        (name, HeaderValue::from_static(value))
+    };
+    fields.iter().map(field).collect()
+}
+
+#[test]
+fn fields_that_only_the_system_sets_are_not_passed_on() {
+    let mut fields = headers(&[
+        ("credential", "secret"),
+        ("tenant", "another"),
+        ("cache-hold", "1"),
+        ("pin-duration", "9"),
+        ("kv-backup", "10.0.0.1:1"),
+        ("kv-from", "10.0.0.1:1/2"),
+        ("request-id", "7"),
+        ("deadline", "15000"),
+    ]);
+    let to = Address {
+        target: "i-1",
+        account: Some("stall"),
+        left: Duration::from_millis(900),
+        resume: None,
+    };
+    platform::address(&mut fields, &to);
+    let expected = headers(&[
+        ("tenant", "stall"),
+        ("request-id", "7"),
+        ("deadline", "900"),
+        ("expect-instance", "i-1"),
+    ]);
+    assert_eq!(fields, expected);
+}
+
+struct Head {
+    status: u16,
+    fields: &'static [(&'static str, &'static str)],
+    verdict: Verdict,
+}
+
+#[rstest]
+#[case::answer(Head { status: 200, fields: &[("request-id", "7")], verdict: Verdict::Answer })]
+#[case::late_answer(Head { status: 200, fields: &[("request-id", "6")], verdict: Verdict::Foreign })]
+#[case::nameless(Head { status: 200, fields: &[], verdict: Verdict::Foreign })]
+#[case::shed(Head { status: 503, fields: &[("not-executed", "1")], verdict: Verdict::Unrun })]
+#[case::failure(Head { status: 503, fields: &[("request-id", "7")], verdict: Verdict::Answer })]
+#[case::moved(Head { status: 421, fields: &[], verdict: Verdict::Moved })]
+fn heads_of_answers(#[case] case: Head) {
+    let verdict = platform::verdict(case.status, &headers(case.fields), "7");
+    assert_eq!(verdict, case.verdict);
+}
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,339 @@
+//! The pool's decisions: placement, refusals, retries and fair order, without a network.
+
+use std::time::Duration;
+
+use redwingyard::pool::{
+    Ask,
+    Fault,
+    Load,
+    Output,
+    Part,
+    Pool,
+    Prompt,
+    Refusal,
+    Seat,
+    Settings,
+    Standing, //
+};
+use rstest::rstest;
+
+const PLAIN: u32 = 1;
+const ENGINE: u32 = 2;
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+fn millis(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn plain_seats(count: u32) -> Vec<Seat> {
+    let seat = |target| Seat {
+        target,
+        service: PLAIN,
+        slots: 2,
+        ..Seat::default()
+    };
+    (1..=count).map(seat).collect()
+}
+
+fn engines(count: u32) -> Vec<Seat> {
+    let seat = |target| Seat {
+        target,
+        service: ENGINE,
+        slots: 64,
+        memory: 500_000,
+        ..Seat::default()
+    };
+    (1..=count).map(seat).collect()
+}
+
+fn pool(seats: Vec<Seat>) -> Pool {
+    let mut pool = Pool::new(Settings::default());
+    pool.seats(Duration::ZERO, seats);
+    pool
+}
+
+fn ask(account: u32) -> Ask {
+    Ask {
+        account,
+        service: PLAIN,
+        idempotent: true,
+        attempts: 2,
+        objective: OBJECTIVE,
+        deadline: millis(5_000),
+        prompt: None,
+    }
+}
+
+fn prompt(account: u32, session: &str, own: u64) -> Ask {
+    let unique = format!("{session}-{own}");
+    Ask {
+        service: ENGINE,
+        prompt: Some(Prompt {
+            parts: Part::chain([("system", 500), (session, 4_500), (&unique, own)]),
+            input: 5_000 + own,
+            output: 100,
+        }),
+        ..ask(account)
+    }
+}
+
+fn sent(outs: &[Output]) -> Vec<u32> {
+    let target = |out: &Output| match out {
+        Output::Send { target, .. } => Some(*target),
+        _ => None,
+    };
+    outs.iter().filter_map(target).collect()
+}
+
+fn refused(outs: &[Output]) -> Vec<(Refusal, Duration)> {
+    let cause = |out: &Output| match out {
+        Output::Refuse { cause, retry, .. } => Some((*cause, *retry)),
+        _ => None,
+    };
+    outs.iter().filter_map(cause).collect()
+}
+
+#[test]
+fn a_service_without_targets_refuses_at_once() {
+    let (_, outs) = pool(Vec::new()).arrive(Duration::ZERO, ask(7));
+    assert!(matches!(refused(&outs)[..], [(Refusal::NoTarget, _)]));
+}
+
+#[test]
+fn what_waits_too_long_is_refused_with_a_time_that_the_caller_has() {
+    let mut pool = pool(plain_seats(1));
+    let arrived: Vec<_> = (0..5)
+        .map(|_| pool.arrive(Duration::ZERO, ask(7)))
+        .collect();
+    let placed = arrived.iter().filter(|(_, outs)| !sent(outs).is_empty());
+    assert_eq!(placed.count(), 4, "two for each slot");
+    assert_eq!(pool.tick(millis(100)), []);
+    let outs = pool.tick(OBJECTIVE);
+    let [(Refusal::Waited, retry)] = refused(&outs)[..] else {
+        panic!("{outs:?}");
+    };
+    assert!(retry <= millis(1_500), "{retry:?}");
+}
+
+#[test]
+fn a_caller_that_has_gone_frees_its_place() {
+    let mut pool = pool(plain_seats(1));
+    let arrived: Vec<_> = (0..5)
+        .map(|_| pool.arrive(Duration::ZERO, ask(7)).0)
+        .collect();
+    assert!(sent(&pool.gone(millis(10), arrived[4])).is_empty());
+    assert!(sent(&pool.gone(millis(10), arrived[0])).is_empty());
+    assert_eq!(pool.active(), 3);
+    assert_eq!(sent(&pool.arrive(millis(11), ask(7)).1), [1]);
+}
+
+struct Repeat {
+    idempotent: bool,
+    fault: Fault,
+    again: bool,
+}
+
+#[rstest]
+#[case::safe_lost(Repeat { idempotent: true, fault: Fault::Lost, again: true })]
+#[case::safe_error(Repeat { idempotent: true, fault: Fault::Error, again: true })]
+#[case::write_lost(Repeat { idempotent: false, fault: Fault::Lost, again: false })]
+#[case::write_error(Repeat { idempotent: false, fault: Fault::Error, again: false })]
+#[case::write_refused(Repeat { idempotent: false, fault: Fault::Refused, again: true })]
+#[case::write_unreachable(Repeat { idempotent: false, fault: Fault::Unreachable, again: true })]
+#[case::write_moved(Repeat { idempotent: false, fault: Fault::Moved, again: true })]
+fn only_what_may_repeat_is_tried_again(#[case] case: Repeat) {
+    let mut pool = pool(plain_seats(2));
+    let ask = Ask {
+        idempotent: case.idempotent,
+        ..ask(7)
+    };
+    let (sequence, outs) = pool.arrive(Duration::ZERO, ask);
+    let first = sent(&outs)[0];
+    pool.fail(millis(5), sequence, case.fault);
+    assert_eq!(pool.may_repeat(sequence, case.fault), case.again);
+    if case.again {
+        let second = sent(&pool.again(millis(5), sequence));
+        assert_eq!(second.len(), 1);
+        assert_ne!(second[0], first);
+    }
+}
+
+#[test]
+fn retries_stay_within_their_budget() {
+    let mut pool = Pool::new(Settings {
+        retries: 3,
+        ..Settings::default()
+    });
+    pool.seats(Duration::ZERO, plain_seats(2));
+    let mut again = 0;
+    for i in 0..100 {
+        let now = millis(10 * i);
+        let (sequence, outs) = pool.arrive(now, ask(7));
+        assert_eq!(sent(&outs).len(), 1);
+        pool.fail(now, sequence, Fault::Lost);
+        again += u32::from(pool.may_repeat(sequence, Fault::Lost));
+        pool.end(now, sequence, false);
+    }
+    assert!((12..=13).contains(&again), "{again} of 3 and a tenth");
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_avoided_but_not_the_last_one() {
+    let mut pool = pool(plain_seats(2));
+    let (first, outs) = pool.arrive(Duration::ZERO, ask(7));
+    let dead = sent(&outs)[0];
+    pool.fail(millis(1), first, Fault::Unreachable);
+    for i in 0..3 {
+        let (_, outs) = pool.arrive(millis(2 + i), ask(7));
+        assert_ne!(sent(&outs), [dead]);
+    }
+    let last: Vec<_> = plain_seats(2)
+        .into_iter()
+        .filter(|seat| seat.target == dead)
+        .collect();
+    pool.seats(millis(10), last);
+    assert_eq!(sent(&pool.arrive(millis(11), ask(7)).1), [dead]);
+}
+
+#[test]
+fn a_target_that_has_left_gets_nothing_that_waits() {
+    let mut pool = pool(plain_seats(1));
+    for _ in 0..5 {
+        pool.arrive(Duration::ZERO, ask(7));
+    }
+    assert!(sent(&pool.seats(millis(10), Vec::new())).is_empty());
+    assert!(sent(&pool.gone(millis(11), 1)).is_empty());
+}
+
+#[test]
+fn silence_ends_the_attempt_of_what_may_repeat() {
+    let mut pool = pool(plain_seats(2));
+    let (sequence, _) = pool.arrive(Duration::ZERO, ask(7));
+    assert_eq!(pool.tick(OBJECTIVE * 3), []);
+    assert_eq!(pool.tick(OBJECTIVE * 4), [Output::Abandon { sequence }]);
+    assert_eq!(pool.tick(millis(5_000)), [Output::Expire { sequence }]);
+}
+
+#[test]
+fn a_session_stays_where_its_prompt_is_kept() {
+    let mut pool = pool(engines(6));
+    let mut targets = Vec::new();
+    for i in 0..12 {
+        let now = millis(300 * i);
+        let (sequence, outs) = pool.arrive(now, prompt(7, "s", 100 + i));
+        targets.extend(sent(&outs));
+        pool.first(now + millis(60), sequence);
+        pool.end(now + millis(200), sequence, true);
+    }
+    targets.dedup();
+    assert_eq!(targets.len(), 1, "{targets:?}");
+}
+
+/// Two routers that have never exchanged anything send a session to the same engine.
+#[test]
+fn routers_agree_on_the_home_of_a_session() {
+    let home = |seed| {
+        let mut pool = Pool::new(Settings {
+            seed,
+            ..Settings::default()
+        });
+        pool.seats(Duration::ZERO, engines(6));
+        sent(&pool.arrive(Duration::ZERO, prompt(7, "s", 100)).1)
+    };
+    assert_eq!(home(1), home(2));
+}
+
+#[test]
+fn an_engine_gets_no_more_than_it_can_begin_in_time() {
+    let mut pool = pool(engines(1));
+    let mut placed = 0;
+    for i in 0..40 {
+        let (_, outs) = pool.arrive(Duration::ZERO, prompt(7, &format!("s{i}"), 1_000));
+        placed += sent(&outs).len();
+    }
+    // At 80 tokens a millisecond, 6,000 tokens each, within 0.8 of 400 ms.
+    assert!((2..=4).contains(&placed), "{placed}");
+}
+
+#[test]
+fn what_other_routers_have_at_an_engine_counts() {
+    let mut pool = pool(engines(1));
+    let load = Load {
+        target: 1,
+        running: 3,
+        unread: 60_000,
+        ..Load::default()
+    };
+    pool.peer(Duration::ZERO, 9, &[load], &[]);
+    let (_, outs) = pool.arrive(Duration::ZERO, prompt(7, "s", 1_000));
+    assert!(sent(&outs).is_empty());
+    // The other router is not heard any more.
+    pool.tick(millis(1_000));
+    let (_, outs) = pool.arrive(millis(1_001), prompt(7, "s", 1_000));
+    assert_eq!(sent(&outs), [1]);
+}
+
+/// The load: one account sends ten times as much as each of two others, twice what the
+/// engines can take.
+#[test]
+fn a_flood_does_not_keep_others_from_their_share() {
+    let mut pool = pool(engines(2));
+    pool.set_shares(Default::default(), Some(60_000));
+    let mut flying = Vec::new();
+    let (mut asked, mut begun) = ([0; 3], [0; 3]);
+    for step in 0..1_000_u64 {
+        let now = millis(10 * step);
+        let due = |at: &(u64, u64)| at.0 <= step;
+        let done: Vec<_> = flying.extract_if(.., |at| due(at)).collect();
+        let mut outs = Vec::new();
+        for (_, sequence) in done {
+            outs.extend(pool.first(now, sequence));
+            outs.extend(pool.end(now, sequence, true));
+        }
+        let flood = step % 2 == 0;
+        let others = [step % 20 == 5, step % 20 == 15];
+        let accounts = [flood, others[0], others[1]];
+        for account in (0..3).filter(|account| accounts[*account]) {
+            let session = format!("{account}-{step}");
+            outs.extend(pool.arrive(now, prompt(account as u32, &session, 1_000)).1);
+            asked[account] += 1;
+        }
+        outs.extend(pool.tick(now));
+        for out in outs {
+            if let Output::Send { sequence, .. } = out {
+                flying.push((step + 8, sequence));
+                let account = pool.account(sequence).expect("it has not ended");
+                begun[account as usize] += 1;
+            }
+        }
+    }
+    for account in 1..3 {
+        assert!(
+            begun[account] * 10 >= asked[account] * 9,
+            "{begun:?} of {asked:?}"
+        );
+    }
+}
+
+#[test]
+fn peers_are_told_what_was_given_and_refused() {
+    let mut pool = pool(plain_seats(1));
+    for _ in 0..5 {
+        pool.arrive(Duration::ZERO, ask(7));
+    }
+    pool.tick(OBJECTIVE);
+    let standings = pool.standings(OBJECTIVE);
+    let [
+        Standing {
+            given,
+            asked,
+            refused,
+            ..
+        },
+    ] = &standings[..]
+    else {
+        panic!("{standings:?}");
+    };
+    assert_eq!((given.len(), asked.len(), &refused[..]), (1, 1, &[7][..]));
+    assert!(given[0].usage < asked[0].usage);
+}
