Begin with smaller batches that grow slowly, and let streams take a quarter of their time

Cause: fuller engines make more answers late; past capacity the next request is always there. Conclusion: the smaller batch is kept.

--- a/src/pool/batch.rs
+++ b/src/pool/batch.rs
@@ -14,7 +14,7 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// The part of the time that a request has in which a long stream should end.
-const TIME_PART: f64 = 0.4;
+const TIME_PART: f64 = 0.25;
 
 /// The quantile of the lengths of streams that counts as long.
 const LONG: f64 = 0.95;
@@ -29,13 +29,13 @@
 const SHRINK: f64 = 0.93;
 
 /// The requests by which the limit grows.
-const GROW: f64 = 2.0;
+const GROW: f64 = 1.0;
 
 /// The least limit.
 const LEAST: f64 = 4.0;
 
 /// The part of an engine's slots that the limit begins with.
-const FIRST_PART: f64 = 0.5;
+const FIRST_PART: f64 = 0.4;
 
 /// The limit on the requests that an engine runs at a time (additive increase,
 /// multiplicative decrease).
