Refuse after three tenths of the objective

Cause: a request that has waited long is late at the engine as well, and takes the place of one that is not.

--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -33,7 +33,7 @@
 
 /// The part of the objective that a request may wait at the router; the rest is for the
 /// target.
-pub(super) const HOLD_PART: f64 = 0.45;
+pub(super) const HOLD_PART: f64 = 0.3;
 
 /// The part of the objective in which the first byte must be expected.
 const DUE_PART: f64 = 0.8;
