--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -21,12 +21,16 @@
 mod batch;
 mod cache;
 mod core;
+mod exchange;
 mod fair;
 mod health;
 mod member;
+mod model;
 mod pace;
 mod place;
 mod queue;
+mod retry;
+mod timer;
 
 pub use ask::{
     Ask,
@@ -35,17 +39,17 @@
 };
 pub use batch::Batch;
 pub use cache::Cache;
-pub use core::{
+pub use core::Pool;
+pub use fair::Ledger;
+pub use health::Health;
+pub use member::Load;
+pub use model::{
     Fault,
     Output,
-    Pool,
     Refusal,
     Seat,
     Settings,
     Standing, //
 };
-pub use fair::Ledger;
-pub use health::Health;
-pub use member::Load;
 pub use pace::Pace;
 pub use queue::Queue;
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -33,10 +33,10 @@
 
 /// The part of the objective that a request may wait at the router; the rest is for the
 /// target.
-pub(super) const HOLD_PART: f64 = 0.3;
+pub(super) const HOLD_PART: f64 = 0.25;
 
 /// The part of the objective in which the first byte must be expected.
-const DUE_PART: f64 = 0.8;
+const DUE_PART: f64 = 0.75;
 
 /// The tokens that an engine may have to read before a prompt that is too long to be read in
 /// time anywhere: one chunk of today's engines.
@@ -60,7 +60,7 @@
 
 /// The part of the objective that a request waits for an engine that keeps its shared part
 /// before it goes to any other (delay scheduling, Zaharia et al., EuroSys 2010).
-const HOME_WAIT: f64 = 0.2;
+const HOME_WAIT: f64 = 0.18;
 
 /// The parts of the shared tokens that the engines to which they hash are presumed to keep,
 /// by rank: other routers send there as well.
--- /dev/null
+++ b/src/pool/retry.rs
@@ -0,0 +1,93 @@
+//! Attempts that have failed, and whether another one follows.
+
+use super::{
+    Fault,
+    Output,
+    Pool,
+    core::Stage, //
+};
+use crate::ids::{
+    Sequence,
+    Target,
+    Time, //
+};
+
+/// The attempts that may fail before they reach a target, beside those that may run.
+const MAX_MISSES: u32 = 3;
+
+impl Pool {
+    /// Notes that an attempt has failed; the request stays until [`Pool::again`] or
+    /// [`Pool::end`].
+    pub fn fail(&mut self, now: Time, sequence: Sequence, fault: Fault) -> Vec<Output> {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        let stage = std::mem::replace(&mut request.stage, Stage::Idle);
+        let Stage::Flying { target, claim, .. } = stage else {
+            request.stage = stage;
+            return Vec::new();
+        };
+        request.tried.push(target);
+        match fault {
+            Fault::Unreachable => request.misses += 1,
+            _ => request.sends += 1,
+        }
+        let (service, account) = (request.ask.service, request.ask.account);
+        let work = self.work(sequence);
+        if let Some(member) = self.members.get_mut(&target) {
+            member.release(claim);
+            match fault {
+                Fault::Unreachable | Fault::Moved => member.health.miss(now),
+                Fault::Lost | Fault::Error | Fault::Refused => member.health.fail(),
+            }
+        }
+        if fault.is_unrun() {
+            self.lane(service).ledger.refund(now, account, work);
+        }
+        self.pump(now, service);
+        self.take()
+    }
+
+    /// Returns whether a request whose attempt has failed may be tried again.
+    ///
+    /// This takes one retry out of the service's budget, unless the attempt never reached a
+    /// target.
+    pub fn may_repeat(&mut self, sequence: Sequence, fault: Fault) -> bool {
+        let Some(request) = self.requests.get(&sequence) else {
+            return false;
+        };
+        let ask = &request.ask;
+        let safe = fault.is_unrun() || ask.idempotent;
+        let left = match fault {
+            Fault::Unreachable => request.misses <= MAX_MISSES,
+            // A refusal is no run, so one more target than the attempts may be asked.
+            Fault::Refused | Fault::Moved => request.sends <= ask.attempts,
+            Fault::Lost | Fault::Error => request.sends < ask.attempts,
+        };
+        let service = ask.service;
+        let others = self.has_untried(sequence);
+        safe && left && others && (fault == Fault::Unreachable || self.lane(service).budget.spend())
+    }
+
+    fn has_untried(&self, sequence: Sequence) -> bool {
+        let request = &self.requests[&sequence];
+        let lane = self.lanes.get(&request.ask.service);
+        let fresh = |target: &Target| !request.tried.contains(target);
+        lane.is_some_and(|lane| lane.members.iter().any(fresh))
+    }
+
+    /// Queues a request again whose attempt has failed, ahead of its account's others.
+    pub fn again(&mut self, now: Time, sequence: Sequence) -> Vec<Output> {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        request.stage = Stage::Waiting;
+        let (service, account) = (request.ask.service, request.ask.account);
+        let ask = request.ask.clone();
+        let hold = self.hold(&ask);
+        self.lane(service).queue.push_front(account, sequence);
+        self.wake_at(sequence, now + hold);
+        self.pump(now, service);
+        self.take()
+    }
+}
--- /dev/null
+++ b/src/shell/gateway/attempt.rs
@@ -0,0 +1,220 @@
+//! One attempt at a target, up to the beginning of its answer.
+
+use std::rc::Rc;
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use compio::runtime::spawn;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::{
+    StreamExt,
+    future::{
+        Either,
+        select, //
+    }, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    Request,
+    body::Incoming,
+    http::response, //
+};
+
+use super::{
+    call::Call,
+    process::Order, //
+};
+use crate::{
+    ids::Target,
+    platform::{
+        self,
+        Verdict, //
+    },
+    pool::Fault,
+    shell::{
+        dial::{
+            Connections,
+            Sender, //
+        },
+        fields::strip, //
+    }, //
+};
+
+/// The plain answers that are taken in whole before the caller sees any of them, in bytes:
+/// they can still be tried elsewhere when they break off.
+const MAX_HELD: usize = 256 << 10;
+
+/// An answer whose beginning has arrived.
+pub(super) struct Answer {
+    pub(super) head: response::Parts,
+    /// What has been read of the body.
+    pub(super) data: Bytes,
+    /// What is still to be read.
+    pub(super) rest: Option<Incoming>,
+    pub(super) sender: Option<Sender>,
+    pub(super) connections: Rc<Connections>,
+}
+
+/// How an attempt went.
+pub(super) enum Tried {
+    /// The target answers.
+    Answered(Box<Answer>),
+    /// It failed.
+    Failed(Fault),
+    /// The request's time is over.
+    Expired,
+}
+
+impl Call {
+    /// Sends the request to a target and waits for the beginning of an answer.
+    pub(super) async fn attempt(&mut self, target: Target, resume: Option<&str>) -> Tried {
+        let Some(listing) = self.process.target(target) else {
+            return Tried::Failed(Fault::Unreachable);
+        };
+        log::info!(
+            "event=send request={} sequence={} target={} attempt_ms={}",
+            self.ask.id,
+            self.sequence,
+            listing.name,
+            self.took().as_millis(),
+        );
+        let request = self.request(&listing.name, resume);
+        let connections = self.process.dial(listing.address);
+        let opened = {
+            let open = std::pin::pin!(connections.open(request));
+            match race(open, &mut self.orders).await {
+                Ok(opened) => opened,
+                Err(tried) => return tried,
+            }
+        };
+        let (response, sender) = match opened {
+            Ok(opened) => opened,
+            Err(err) => {
+                let fault = match err.is_sent() {
+                    true => Fault::Lost,
+                    false => Fault::Unreachable,
+                };
+                log::info!(
+                    "event=attempt-error request={} target={} fault={fault} error=\"{err}\"",
+                    self.ask.id,
+                    listing.name,
+                );
+                return Tried::Failed(fault);
+            }
+        };
+        let (head, body) = response.into_parts();
+        match platform::verdict(head.status.as_u16(), &head.headers, &self.ask.id) {
+            Verdict::Answer => {}
+            // The answer belongs to no request that is known; ours may have run.
+            Verdict::Foreign => return Tried::Failed(Fault::Lost),
+            Verdict::Unrun => {
+                reuse_after(body, sender, connections, head);
+                return Tried::Failed(Fault::Refused);
+            }
+            Verdict::Moved => {
+                self.process.moved(target);
+                return Tried::Failed(Fault::Moved);
+            }
+        }
+        self.begin(head, body, sender, connections).await
+    }
+
+    /// Reads an answer whole, or the first event of a stream.
+    async fn begin(
+        &mut self,
+        head: response::Parts,
+        mut body: Incoming,
+        sender: Sender,
+        connections: Rc<Connections>,
+    ) -> Tried {
+        let mut data = BytesMut::new();
+        let ended = loop {
+            let frame = std::pin::pin!(body.frame());
+            let frame = match race(frame, &mut self.orders).await {
+                Ok(frame) => frame,
+                Err(tried) => return tried,
+            };
+            match frame {
+                None => break true,
+                Some(Err(_)) => return Tried::Failed(Fault::Lost),
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        data.extend_from_slice(&bytes);
+                    }
+                }
+            }
+            if self.ask.stream && !data.is_empty() || data.len() > MAX_HELD {
+                break false;
+            }
+        };
+        if ended {
+            connections.keep(sender, &head.headers);
+            return Tried::Answered(Box::new(Answer {
+                head,
+                data: data.freeze(),
+                rest: None,
+                sender: None,
+                connections,
+            }));
+        }
+        Tried::Answered(Box::new(Answer {
+            head,
+            data: data.freeze(),
+            rest: Some(body),
+            sender: Some(sender),
+            connections,
+        }))
+    }
+
+    fn request(&self, target: &str, resume: Option<&str>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.ask.body.clone()));
+        *request.method_mut() = self.ask.head.method.clone();
+        *request.uri_mut() = self.ask.head.uri.clone();
+        let headers = request.headers_mut();
+        *headers = self.ask.head.headers.clone();
+        strip(headers);
+        let address = platform::Address {
+            target,
+            account: self.ask.account.as_deref(),
+            left: self.left(),
+            resume,
+        };
+        platform::address(headers, &address);
+        request
+    }
+}
+
+/// Awaits work, unless the pool ends the attempt first.
+pub(super) async fn race<F: Future + Unpin>(
+    mut work: F,
+    orders: &mut UnboundedReceiver<Order>,
+) -> Result<F::Output, Tried> {
+    loop {
+        match select(work, orders.next()).await {
+            Either::Left((done, _)) => return Ok(done),
+            Either::Right((Some(Order::Abandon), _)) => return Err(Tried::Failed(Fault::Lost)),
+            Either::Right((Some(Order::Expire) | None, _)) => return Err(Tried::Expired),
+            Either::Right((Some(_), left)) => work = left,
+        }
+    }
+}
+
+/// Reads a refusal to its end, so that its connection can be used again.
+fn reuse_after(
+    body: Incoming,
+    sender: Sender,
+    connections: Rc<Connections>,
+    head: response::Parts,
+) {
+    spawn(async move {
+        if body.collect().await.is_ok() {
+            connections.keep(sender, &head.headers);
+        }
+    })
+    .detach();
+}
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -5,75 +5,47 @@
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use compio::runtime::spawn;
+use bytes::Bytes;
 use futures_channel::mpsc::UnboundedReceiver;
-use futures_util::{
-    StreamExt,
-    future::{
-        Either,
-        select, //
-    }, //
-};
-use http_body_util::{
-    BodyExt,
-    Full, //
-};
+use futures_util::StreamExt;
 use hyper::{
-    Request,
     Response,
     StatusCode,
-    body::Incoming,
-    header::{
-        CONTENT_LENGTH,
-        HeaderValue,
-        RETRY_AFTER, //
-    },
-    http::{
-        request,
-        response, //
-    }, //
+    header::CONTENT_LENGTH,
+    http::request, //
 };
 
 use super::{
+    attempt::{
+        Answer,
+        Tried, //
+    },
     process::{
         Order,
         Process, //
     },
+    refusal::{
+        FAULT_RETRY,
+        refusal, //
+    },
     relay::relay, //
 };
 use crate::{
     ids::{
         Sequence,
-        Target,
         Time, //
     },
-    platform::{
-        self,
-        Verdict, //
-    },
     pool::{
         Fault,
         Refusal, //
     },
     shell::{
         body::Body,
-        dial::{
-            Connections,
-            Sender, //
-        },
         fields::strip,
         problem, //
     }, //
 };
 
-/// The plain answers that are taken in whole before the caller sees any of them, in bytes:
-/// they can still be tried elsewhere when they break off.
-const MAX_HELD: usize = 256 << 10;
-
 /// A request of a caller.
 pub(super) struct Call {
     pub(super) process: Rc<Process>,
@@ -91,6 +63,8 @@
     pub(super) id: String,
     /// The account.
     pub(super) account: Option<Rc<str>>,
+    /// The route's name.
+    pub(super) route: String,
     /// The request's head.
     pub(super) head: request::Parts,
     /// The request's body.
@@ -105,27 +79,6 @@
     pub(super) deadline: Time,
 }
 
-/// An answer whose beginning has arrived.
-pub(super) struct Answer {
-    pub(super) head: response::Parts,
-    /// What has been read of the body.
-    pub(super) data: Bytes,
-    /// What is still to be read.
-    pub(super) rest: Option<Incoming>,
-    pub(super) sender: Option<Sender>,
-    pub(super) connections: Rc<Connections>,
-}
-
-/// How an attempt went.
-pub(super) enum Tried {
-    /// The target answers.
-    Answered(Box<Answer>),
-    /// It failed.
-    Failed(Fault),
-    /// The request's time is over.
-    Expired,
-}
-
 impl Call {
     pub(super) fn new(process: Rc<Process>, ask: CallerAsk, pool: crate::pool::Ask) -> Self {
         let (sequence, orders) = process.arrive(pool);
@@ -145,6 +98,12 @@
         now.saturating_sub(self.ask.arrived)
     }
 
+    /// Returns the time until the request must have ended.
+    pub(super) fn left(&self) -> Duration {
+        let now = self.process.clock.now();
+        self.ask.deadline.saturating_sub(now)
+    }
+
     /// Ends the request and logs its outcome.
     pub(super) fn end(&mut self, outcome: &str, answered: bool) {
         self.ended = true;
@@ -153,10 +112,14 @@
         self.process.metrics.total(self.took());
         let account = self.ask.account.as_deref().unwrap_or("-");
         log::info!(
-            "event=end request={} sequence={} account={account} outcome={outcome} took_ms={}",
+            "event=end request={} sequence={} account={account} route={} generation={} \
+             outcome={outcome} took_ms={} left_ms={}",
             self.ask.id,
             self.sequence,
+            self.ask.route,
+            self.process.rules().generation(),
             self.took().as_millis(),
+            self.left().as_millis(),
         );
     }
 
@@ -215,124 +178,6 @@
         }
     }
 
-    /// Sends the request to a target and waits for the beginning of an answer.
-    pub(super) async fn attempt(&mut self, target: Target, resume: Option<&str>) -> Tried {
-        let Some(listing) = self.process.target(target) else {
-            return Tried::Failed(Fault::Unreachable);
-        };
-        log::info!(
-            "event=send request={} sequence={} target={} attempt_ms={}",
-            self.ask.id,
-            self.sequence,
-            listing.name,
-            self.took().as_millis(),
-        );
-        let request = self.request(&listing.name, resume);
-        let connections = self.process.dial(listing.address);
-        let opened = {
-            let open = std::pin::pin!(connections.open(request));
-            match race(open, &mut self.orders).await {
-                Ok(opened) => opened,
-                Err(tried) => return tried,
-            }
-        };
-        let (response, sender) = match opened {
-            Ok(opened) => opened,
-            Err(err) => {
-                let fault = match err.is_sent() {
-                    true => Fault::Lost,
-                    false => Fault::Unreachable,
-                };
-                log::info!(
-                    "event=attempt-error request={} target={} fault={fault} error=\"{err}\"",
-                    self.ask.id,
-                    listing.name,
-                );
-                return Tried::Failed(fault);
-            }
-        };
-        let (head, body) = response.into_parts();
-        match platform::verdict(head.status.as_u16(), &head.headers, &self.ask.id) {
-            Verdict::Answer => {}
-            // The answer belongs to no request that is known; ours may have run.
-            Verdict::Foreign => return Tried::Failed(Fault::Lost),
-            Verdict::Unrun => {
-                reuse_after(body, sender, connections, head);
-                return Tried::Failed(Fault::Refused);
-            }
-            Verdict::Moved => {
-                self.process.moved(target);
-                return Tried::Failed(Fault::Moved);
-            }
-        }
-        self.begin(head, body, sender, connections).await
-    }
-
-    /// Reads an answer whole, or the first event of a stream.
-    async fn begin(
-        &mut self,
-        head: response::Parts,
-        mut body: Incoming,
-        sender: Sender,
-        connections: Rc<Connections>,
-    ) -> Tried {
-        let mut data = BytesMut::new();
-        let ended = loop {
-            let frame = std::pin::pin!(body.frame());
-            let frame = match race(frame, &mut self.orders).await {
-                Ok(frame) => frame,
-                Err(tried) => return tried,
-            };
-            match frame {
-                None => break true,
-                Some(Err(_)) => return Tried::Failed(Fault::Lost),
-                Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        data.extend_from_slice(&bytes);
-                    }
-                }
-            }
-            if self.ask.stream && !data.is_empty() || data.len() > MAX_HELD {
-                break false;
-            }
-        };
-        if ended {
-            connections.keep(sender, &head.headers);
-            return Tried::Answered(Box::new(Answer {
-                head,
-                data: data.freeze(),
-                rest: None,
-                sender: None,
-                connections,
-            }));
-        }
-        Tried::Answered(Box::new(Answer {
-            head,
-            data: data.freeze(),
-            rest: Some(body),
-            sender: Some(sender),
-            connections,
-        }))
-    }
-
-    fn request(&self, target: &str, resume: Option<&str>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.ask.body.clone()));
-        *request.method_mut() = self.ask.head.method.clone();
-        *request.uri_mut() = self.ask.head.uri.clone();
-        let headers = request.headers_mut();
-        *headers = self.ask.head.headers.clone();
-        strip(headers);
-        let now = self.process.clock.now();
-        let address = platform::Address {
-            target,
-            account: self.ask.account.as_deref(),
-            left: self.ask.deadline.saturating_sub(now),
-            resume,
-        };
-        platform::address(headers, &address);
-        request
-    }
-
     /// Passes an answer on.
     fn deliver(mut self, mut answer: Answer) -> Response<Body> {
         self.process.first(self.sequence);
@@ -409,53 +254,3 @@
         }
     }
 }
-
-/// When a request is worth sending again whose targets could not be reached.
-const FAULT_RETRY: Duration = Duration::from_millis(500);
-
-/// Returns the answer to a request that has not run.
-pub(super) fn refusal(cause: Refusal, retry: Duration) -> Response<Body> {
-    let detail = match cause {
-        Refusal::Overload => "the wait would exceed the objective",
-        Refusal::Waited => "no target had room within the objective",
-        Refusal::NoTarget => "no target of the service is known",
-        Refusal::Attempts => "no target took the request",
-    };
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let mut response = problem::reject(status, &cause.to_string(), detail);
-    let seconds = format!("{:.2}", retry.as_secs_f64().max(0.05));
-    if let Ok(value) = HeaderValue::try_from(seconds) {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-    response
-}
-
-/// Awaits work, unless the pool ends the attempt first.
-pub(super) async fn race<F: Future + Unpin>(
-    mut work: F,
-    orders: &mut UnboundedReceiver<Order>,
-) -> Result<F::Output, Tried> {
-    loop {
-        match select(work, orders.next()).await {
-            Either::Left((done, _)) => return Ok(done),
-            Either::Right((Some(Order::Abandon), _)) => return Err(Tried::Failed(Fault::Lost)),
-            Either::Right((Some(Order::Expire) | None, _)) => return Err(Tried::Expired),
-            Either::Right((Some(_), left)) => work = left,
-        }
-    }
-}
-
-/// Reads a refusal to its end, so that its connection can be used again.
-fn reuse_after(
-    body: Incoming,
-    sender: Sender,
-    connections: Rc<Connections>,
-    head: response::Parts,
-) {
-    spawn(async move {
-        if body.collect().await.is_ok() {
-            connections.keep(sender, &head.headers);
-        }
-    })
-    .detach();
-}
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -27,10 +27,10 @@
 use super::{
     call::{
         Call,
-        CallerAsk,
-        refusal, //
+        CallerAsk, //
     },
-    process::Process, //
+    process::Process,
+    refusal::refusal, //
 };
 use crate::{
     platform::{
@@ -101,6 +101,7 @@
     let asked = CallerAsk {
         id: envelope.id,
         account,
+        route: route.name.clone(),
         head,
         body,
         stream: route.stream,
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -31,7 +31,18 @@
                 expected.as_millis(),
                 rank.map_or(-1, |rank| rank as i64),
             ),
-            other => write!(f, "event=decide decision={other:?}"),
+            Output::Refuse {
+                sequence,
+                cause,
+                retry,
+                waiting,
+            } => write!(
+                f,
+                "event=refuse sequence={sequence} cause={cause} retry_ms={} waiting={waiting}",
+                retry.as_millis(),
+            ),
+            Output::Abandon { sequence } => write!(f, "event=abandon sequence={sequence}"),
+            Output::Expire { sequence } => write!(f, "event=expire sequence={sequence}"),
         }
     }
 }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! A gateway as a process: a router that sends to targets itself.
 
+mod attempt;
 mod call;
 mod events;
 mod front;
@@ -7,6 +8,7 @@
 mod metrics;
 mod peers;
 mod process;
+mod refusal;
 mod relay;
 mod serve;
 mod watch;
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -277,6 +277,7 @@
 
     fn perform(&self, outs: Vec<Output>) {
         for out in outs {
+            log::info!("{}", Line::of(&out));
             let (sequence, order) = match out {
                 Output::Send {
                     sequence,
@@ -285,13 +286,13 @@
                     ..
                 } => {
                     self.metrics.wait(waited);
-                    log::info!("{}", Line::of(&out));
                     (sequence, Order::Send(target))
                 }
                 Output::Refuse {
                     sequence,
                     cause,
                     retry,
+                    ..
                 } => (sequence, Order::Refuse(cause, retry)),
                 Output::Abandon { sequence } => (sequence, Order::Abandon),
                 Output::Expire { sequence } => (sequence, Order::Expire),
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -9,12 +9,12 @@
 use hyper::body::Frame;
 
 use super::{
-    call::{
+    attempt::{
         Answer,
-        Call,
         Tried,
         race, //
     },
+    call::Call,
     events::{
         self,
         Events, //
