Expect to wait only behind accounts that have had less

Ruled out: home engines (the refused requests had not been placed at all). Also: log lines are written whole, so that a reader never sees a part of one.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -79,6 +79,16 @@
     pub(super) members: BTreeSet<Target>,
 }
 
+impl Lane {
+    /// Returns the expected wait of a request of an account that joins now: those of accounts
+    /// that have had less come first.
+    fn wait(&self, now: Time, account: Account) -> Duration {
+        let usage = |account| self.ledger.usage(now, account);
+        let own = usage(account);
+        self.queue.wait(account, |other| usage(other) < own)
+    }
+}
+
 /// The decisions of one router about targets that it sends to itself.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -179,7 +189,7 @@
         lane.budget.earn();
         if lane.members.is_empty() {
             self.refuse(now, sequence, Refusal::NoTarget);
-        } else if lane.queue.wait(account) > hold {
+        } else if lane.wait(now, account) > hold {
             self.refuse(now, sequence, Refusal::Overload);
         } else {
             lane.queue.push(account, sequence);
@@ -284,8 +294,8 @@
         let ask = &request.ask;
         self.lane(ask.service).ledger.refuse(now, ask.account);
         let (service, account) = (ask.service, ask.account);
-        let queue = &self.lane(service).queue;
-        let (expected, waiting) = (queue.wait(account), queue.len());
+        let lane = self.lane(service);
+        let (expected, waiting) = (lane.wait(now, account), lane.queue.len());
         // Those refused together should not come back together.
         let spread = 1.0 + self.rng.f64();
         let wait = expected.max(MIN_RETRY).mul_f64(spread);
--- a/src/pool/queue.rs
+++ b/src/pool/queue.rs
@@ -74,8 +74,8 @@
         self.left = Some(now);
     }
 
-    /// Returns the expected wait of a request of an account that joins now, when accounts
-    /// take turns.
+    /// Returns the expected wait of a request of an account that joins now, behind its
+    /// account's others and those of each account that `precedes` it.
     ///
     /// ```
     /// use std::time::Duration;
@@ -85,15 +85,17 @@
     ///     queue.push(7, i);
     ///     queue.note_departure(Duration::from_millis(10 * i));
     /// }
-    /// assert!(queue.wait(7) > Duration::from_secs(9));
-    /// assert!(queue.wait(8) < Duration::from_millis(30));
+    /// assert!(queue.wait(7, |_| false) > Duration::from_secs(9));
+    /// assert!(queue.wait(8, |_| true) > Duration::from_secs(9));
+    /// assert!(queue.wait(8, |_| false) < Duration::from_millis(30));
     /// ```
-    pub fn wait(&self, account: Account) -> Duration {
+    pub fn wait(&self, account: Account, precedes: impl Fn(Account) -> bool) -> Duration {
         if self.samples < MIN_SAMPLES {
             return Duration::ZERO;
         }
-        let own = self.lines.get(&account).map_or(0, VecDeque::len) + 1;
-        let turns: usize = self.lines.values().map(|line| line.len().min(own)).sum();
+        let before = |(other, _): &(&Account, _)| **other == account || precedes(**other);
+        let lines = self.lines.iter().filter(before);
+        let turns: usize = lines.map(|(_, line)| line.len()).sum();
         self.pace * turns as u32
     }
 
--- a/src/shell/logs.rs
+++ b/src/shell/logs.rs
@@ -30,6 +30,9 @@
 /// The bytes that wait to be written at most: a second of a busy gateway's lines.
 const MAX_PENDING: usize = 128 << 10;
 
+/// The bytes that a pipe takes at once or not at all (`PIPE_BUF` of Linux).
+const ATOMIC_WRITE: usize = 4_096;
+
 /// The interval of the writes.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -100,13 +103,31 @@
     }
 }
 
+/// Writes whole lines in pieces that a pipe takes at once or not at all, until it is full.
 fn write_some(bytes: &[u8]) -> usize {
-    match rustix::io::write(stdout(), bytes) {
-        Ok(written) => written,
-        Err(Errno::AGAIN | Errno::INTR) => 0,
-        // Nobody reads any more.
-        Err(_) => bytes.len(),
+    let mut written = 0;
+    while written < bytes.len() {
+        let piece = piece(&bytes[written..]);
+        match rustix::io::write(stdout(), piece) {
+            Ok(count) => written += count,
+            Err(Errno::INTR) => {}
+            Err(Errno::AGAIN) => break,
+            // Nobody reads any more.
+            Err(_) => return bytes.len(),
+        }
+    }
+    written
+}
+
+/// Returns the first whole lines that fit in one atomic write.
+fn piece(bytes: &[u8]) -> &[u8] {
+    if bytes.len() <= ATOMIC_WRITE {
+        return bytes;
     }
+    let end = bytes[..ATOMIC_WRITE]
+        .iter()
+        .rposition(|byte| *byte == b'\n');
+    &bytes[..end.map_or(ATOMIC_WRITE, |end| end + 1)]
 }
 
 impl Write for Logs {
