--- a/src/pool/batch.rs
+++ b/src/pool/batch.rs
@@ -98,7 +98,7 @@
     /// // Each of 60 streams makes 1 event in half a second: 100 events would take 50 s.
     /// batch.count(60);
     /// batch.adjust(Duration::from_millis(500), 60, 64);
-    /// assert_eq!(batch.limit(), 59);
+    /// assert_eq!(batch.limit(), 47);
     /// ```
     pub fn adjust(&mut self, now: Time, own: u32, all: u32) {
         let passed = now.saturating_sub(self.adjusted);
