Build an answer once, and drop an alias and a copy from the pool

Cause: read as a newcomer would: Call::begin built the same answer twice; Pool::again copied a request with its prompt to reckon its hold; Heard stood for Time and said nothing more. Behaviour is as it was.

--- a/src/pool/cache.rs
+++ b/src/pool/cache.rs
@@ -6,8 +6,6 @@
 };
 
 use super::Part;
-use crate::ids::Time;
-
 /// The prompt parts that an engine is believed to keep, least recently used first out.
 ///
 /// The belief is learnt from the requests that this router has sent, so it can be wrong
@@ -82,6 +80,3 @@
         *self = Self::new(self.capacity);
     }
 }
-
-/// The time at which a router last heard of something.
-pub(super) type Heard = Time;
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -170,7 +170,7 @@
     pub fn arrive(&mut self, now: Time, ask: Ask) -> (Sequence, Vec<Output>) {
         self.last += 1;
         let sequence = self.last;
-        let hold = self.hold(&ask);
+        let hold = super::place::hold(&ask);
         let (service, account) = (ask.service, ask.account);
         let request = Request {
             ask,
@@ -199,11 +199,6 @@
         (sequence, self.take())
     }
 
-    /// Returns how long a request may wait here.
-    pub(super) fn hold(&self, ask: &Ask) -> Duration {
-        ask.objective.mul_f64(super::place::HOLD_PART)
-    }
-
     /// Notes that the first byte of an answer has arrived.
     pub fn first(&mut self, now: Time, sequence: Sequence) -> Vec<Output> {
         let Some(request) = self.requests.get_mut(&sequence) else {
--- a/src/pool/member.rs
+++ b/src/pool/member.rs
@@ -11,12 +11,12 @@
     Health,
     Pace,
     Prompt,
-    Seat,
-    cache::Heard, //
+    Seat, //
 };
 use crate::ids::{
     Router,
-    Target, //
+    Target,
+    Time, //
 };
 
 /// The part of an engine's memory that prompts are believed to stay in after their use; the
@@ -60,7 +60,7 @@
 pub(super) struct Member {
     pub(super) seat: Seat,
     pub(super) own: Load,
-    pub(super) peers: BTreeMap<Router, (Load, Heard)>,
+    pub(super) peers: BTreeMap<Router, (Load, Time)>,
     pub(super) cache: Cache,
     pub(super) health: Health,
     pub(super) pace: Pace,
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -33,7 +33,7 @@
 
 /// The part of the objective that a request may wait at the router; the rest is for the
 /// target.
-pub(super) const HOLD_PART: f64 = 0.25;
+const HOLD_PART: f64 = 0.25;
 
 /// The part of the objective in which the first byte must be expected.
 const DUE_PART: f64 = 0.75;
@@ -232,6 +232,11 @@
     }
 }
 
+/// Returns how long a request may wait at the router.
+pub(super) fn hold(ask: &Ask) -> Duration {
+    ask.objective.mul_f64(HOLD_PART)
+}
+
 /// Returns the part of an engine that is open to an account with some usage, where `level` is
 /// an even share: the more it has had, the less, so that accounts ahead are told apart too.
 fn open_part(usage: Usage, level: Usage) -> f64 {
--- a/src/pool/retry.rs
+++ b/src/pool/retry.rs
@@ -83,8 +83,7 @@
         };
         request.stage = Stage::Waiting;
         let (service, account) = (request.ask.service, request.ask.account);
-        let ask = request.ask.clone();
-        let hold = self.hold(&ask);
+        let hold = super::place::hold(&request.ask);
         self.lane(service).queue.push_front(account, sequence);
         self.wake_at(sequence, now + hold);
         self.pump(now, service);
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -152,21 +152,17 @@
                 break false;
             }
         };
-        if ended {
+        let (rest, sender) = if ended {
             connections.keep(sender, &head.headers);
-            return Tried::Answered(Box::new(Answer {
-                head,
-                data: data.freeze(),
-                rest: None,
-                sender: None,
-                connections,
-            }));
-        }
+            (None, None)
+        } else {
+            (Some(body), Some(sender))
+        };
         Tried::Answered(Box::new(Answer {
             head,
             data: data.freeze(),
-            rest: Some(body),
-            sender: Some(sender),
+            rest,
+            sender,
             connections,
         }))
     }
