Exchange figures along groups and failure domains

Cause: each gateway sent its loads and accounts to each other one ten times a second. At 28 gateways that is 270 datagrams a second each way, at 103 1,020, all in one burst; each datagram also walked all members, and the list of addresses never forgot any. Change: a new module, mesh, works out who tells whom. A gateway tells its group (some eight by hash) what it has, other groups of its failure domain what the group has, and other domains what the domain has, so each figure is in one sum. Rounds are paced by their bytes and datagrams. Routers are known by rumors with an age, forgotten after a while, and found again. Ruled out: ranks within groups (a member that only some believe in moved everyone's listeners: not settled after 10 s when a tenth was killed); each group's best member for all domains (uneven: 80 datagrams a round at 400); speakers from the whole domain (one that died was believed in for 15 s, and its listeners heard nothing).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod feed;
 pub mod ids;
 pub mod member;
+pub mod mesh;
 pub mod platform;
 pub mod pool;
 pub mod router;
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -17,6 +17,7 @@
     Refusal,
     Seat,
     Settings,
+    exchange::Told,
     member::{
         Claim,
         Member, //
@@ -27,13 +28,13 @@
 use crate::{
     ids::{
         Account,
-        Router,
         Sequence,
         Service,
         Target,
         Time,
         Usage, //
     },
+    mesh::Source,
     router::Budget, //
 };
 
@@ -102,7 +103,10 @@
     pub(super) shares: HashMap<Account, u32>,
     pub(super) rate: Option<u64>,
     pub(super) outs: Vec<Output>,
-    pub(super) routers: BTreeMap<Router, Time>,
+    /// How many routers send to the same targets.
+    pub(super) routers: usize,
+    /// What others have told something of.
+    pub(super) sources: BTreeMap<Source, Told>,
     pub(super) timers: BTreeSet<(Time, Sequence)>,
     last: Sequence,
     rng: fastrand::Rng,
@@ -120,7 +124,8 @@
             shares: HashMap::new(),
             rate: None,
             outs: Vec::new(),
-            routers: BTreeMap::new(),
+            routers: 1,
+            sources: BTreeMap::new(),
             timers: BTreeSet::new(),
             last: 0,
         }
@@ -143,7 +148,9 @@
             match self.members.get_mut(&seat.target) {
                 Some(member) => member.update(seat),
                 None => {
-                    self.members.insert(seat.target, Member::new(seat));
+                    let mut member = Member::new(seat);
+                    member.share_memory(self.routers);
+                    self.members.insert(member.seat.target, member);
                 }
             }
         }
--- a/src/pool/fair.rs
+++ b/src/pool/fair.rs
@@ -12,10 +12,13 @@
 use crate::{
     ids::{
         Account,
-        Router,
         Time,
         Usage, //
     },
+    mesh::{
+        Scope,
+        Source, //
+    },
     pool::{
         Served,
         Standing, //
@@ -57,7 +60,7 @@
     }
 }
 
-/// What another router has told.
+/// What a source has told.
 #[derive(Clone, Debug, Default)]
 struct Peer {
     usage: BTreeMap<Account, Fading>,
@@ -74,7 +77,7 @@
 pub struct Ledger {
     own: BTreeMap<Account, Fading>,
     asked: BTreeMap<Account, Fading>,
-    peers: BTreeMap<Router, Peer>,
+    peers: BTreeMap<Source, Peer>,
     refused: BTreeMap<Account, Time>,
 }
 
@@ -83,13 +86,13 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use redwingyard::{pool::{Ledger, Standing}, wire::Tally};
+    /// use redwingyard::{mesh::Source, pool::{Ledger, Standing}, wire::Tally};
     /// let mut ledger = Ledger::default();
     /// ledger.charge(Duration::ZERO, 7, 40);
     /// let given = vec![Tally { account: 7, usage: 2 }];
     /// let standing = Standing { given, ..Standing::default() };
-    /// ledger.merge(Duration::ZERO, 1, &standing);
-    /// ledger.merge(Duration::ZERO, 1, &standing);
+    /// ledger.merge(Duration::ZERO, Source::router(1), &standing);
+    /// ledger.merge(Duration::ZERO, Source::router(1), &standing);
     /// assert_eq!(ledger.usage(Duration::ZERO, 7), 4);
     /// // From the first refusal on, service is taken from others.
     /// ledger.refuse(Duration::ZERO, 8);
@@ -110,14 +113,7 @@
     /// Returns whether any account was refused lately.
     fn is_pressed(&self, now: Time) -> bool {
         let here = self.refused.values().any(|at| now < *at + PRESSED);
-        here || self.refused_elsewhere(now).next().is_some()
-    }
-
-    /// Returns the accounts that other routers refused lately, with repetitions.
-    fn refused_elsewhere(&self, now: Time) -> impl Iterator<Item = Account> {
-        let fresh = move |peer: &&Peer| now < peer.heard + PRESSED;
-        let peers = self.peers.values().filter(fresh);
-        peers.flat_map(|peer| peer.refused.iter().copied())
+        here || refused_by(now, self.peers.values()).next().is_some()
     }
 
     /// Takes back what was counted of service that was not given.
@@ -139,23 +135,41 @@
         self.refused.insert(account, now);
     }
 
-    /// Returns the accounts that were refused here lately.
-    pub fn refused(&self, now: Time) -> Vec<Account> {
-        let lately = |(_, at): &(&Account, &Time)| now < **at + PRESSED;
-        let refused = self.refused.iter().filter(lately).take(MOST_TOLD);
-        refused.map(|(account, _)| *account).collect()
+    /// Returns the accounts that were refused lately within a scope that this router speaks for.
+    pub fn refused(&self, now: Time, scope: Scope) -> Vec<Account> {
+        let elsewhere = refused_by(now, self.narrower(scope));
+        let accounts: BTreeSet<_> = elsewhere.chain(self.refused_here(now)).collect();
+        accounts.into_iter().take(MOST_TOLD).collect()
+    }
+
+    fn refused_here(&self, now: Time) -> impl Iterator<Item = Account> {
+        let lately = move |(_, at): &(&Account, &Time)| now < **at + PRESSED;
+        let refused = self.refused.iter().filter(lately);
+        refused.map(|(account, _)| *account)
     }
 
     /// Returns the accounts that were refused lately, here or at another router.
     pub fn all_refused(&self, now: Time) -> Vec<Served> {
-        let elsewhere = self.refused_elsewhere(now);
-        let accounts: BTreeSet<_> = elsewhere.chain(self.refused(now)).collect();
+        let elsewhere = refused_by(now, self.peers.values());
+        let accounts: BTreeSet<_> = elsewhere.chain(self.refused_here(now)).collect();
         let standing = |account| self.standing(now, account);
         accounts.into_iter().map(standing).collect()
     }
 
-    /// Takes in what another router has given lately, and what it was asked for.
-    pub fn merge(&mut self, now: Time, router: Router, standing: &Standing) {
+    /// Returns what those have told that this router speaks for in a scope.
+    fn narrower(&self, scope: Scope) -> impl Iterator<Item = &Peer> {
+        let narrower = self.peers.range(..Source { scope, id: 0 });
+        narrower.map(|(_, peer)| peer)
+    }
+
+    /// Forgets what sources have told whose figures others tell from now on.
+    pub fn forget_all_but(&mut self, is_kept: impl Fn(Source) -> bool) {
+        self.peers.retain(|source, _| is_kept(*source));
+    }
+
+    /// Takes in what a source has given lately, and what it was asked for; it replaces what it
+    /// has told before.
+    pub fn merge(&mut self, now: Time, source: Source, standing: &Standing) {
         let fading = |tally: &Tally| {
             let usage = tally.usage as f64;
             (tally.account, Fading { usage, at: now })
@@ -166,17 +180,19 @@
             refused: standing.refused.clone(),
             heard: now,
         };
-        self.peers.insert(router, peer);
+        self.peers.insert(source, peer);
     }
 
-    /// Returns what this router has given lately.
-    pub fn given(&self, now: Time) -> Vec<Tally> {
-        tallies(now, &self.own)
+    /// Returns what was given lately within a scope that this router speaks for.
+    pub fn given(&self, now: Time, scope: Scope) -> Vec<Tally> {
+        let peers = self.narrower(scope).map(|peer| &peer.usage);
+        tallies(totals(now, [&self.own].into_iter().chain(peers)))
     }
 
-    /// Returns what this router was asked for lately.
-    pub fn asked(&self, now: Time) -> Vec<Tally> {
-        tallies(now, &self.asked)
+    /// Returns what was asked for lately within a scope that this router speaks for.
+    pub fn asked(&self, now: Time, scope: Scope) -> Vec<Tally> {
+        let peers = self.narrower(scope).map(|peer| &peer.asked);
+        tallies(totals(now, [&self.asked].into_iter().chain(peers)))
     }
 
     /// Returns what this router and each other one have given.
@@ -242,6 +258,15 @@
     }
 }
 
+/// Returns the accounts that peers refused lately, with repetitions.
+fn refused_by<'a>(
+    now: Time,
+    peers: impl Iterator<Item = &'a Peer>,
+) -> impl Iterator<Item = Account> {
+    let fresh = peers.filter(move |peer| now < peer.heard + PRESSED);
+    fresh.flat_map(|peer| peer.refused.iter().copied())
+}
+
 /// Returns what one account has at all routers together.
 fn total<'a>(
     now: Time,
@@ -265,12 +290,12 @@
 }
 
 /// Returns what accounts have, for those that have the most.
-fn tallies(now: Time, fading: &BTreeMap<Account, Fading>) -> Vec<Tally> {
-    let tally = |(account, fading): (&Account, &Fading)| Tally {
-        account: *account,
-        usage: fading.at(now) as Usage,
+fn tallies(totals: BTreeMap<Account, f64>) -> Vec<Tally> {
+    let tally = |(account, usage)| Tally {
+        account,
+        usage: usage as Usage,
     };
-    let tallies = fading.iter().map(tally);
+    let tallies = totals.into_iter().map(tally);
     let mut tallies: Vec<_> = tallies.filter(|tally| tally.usage > 0).collect();
     if tallies.len() > MOST_TOLD {
         tallies.select_nth_unstable_by_key(MOST_TOLD, |tally| Reverse(tally.usage));
--- a/src/pool/member.rs
+++ b/src/pool/member.rs
@@ -13,10 +13,15 @@
     Prompt,
     Seat, //
 };
-use crate::ids::{
-    Router,
-    Target,
-    Time, //
+use crate::{
+    ids::{
+        Target,
+        Time, //
+    },
+    mesh::{
+        Scope,
+        Source, //
+    }, //
 };
 
 /// The part of an engine's memory that prompts are believed to stay in after their use; the
@@ -24,7 +29,7 @@
 const KEPT_PART: f64 = 0.4;
 
 data! {
-    /// What one router has at a target.
+    /// What one router, or several together, have at a target.
     #[derive(Copy, Default)]
     pub struct Load {
         /// The target.
@@ -60,7 +65,7 @@
 pub(super) struct Member {
     pub(super) seat: Seat,
     pub(super) own: Load,
-    pub(super) peers: BTreeMap<Router, (Load, Time)>,
+    pub(super) peers: BTreeMap<Source, (Load, Time)>,
     pub(super) cache: Cache,
     pub(super) health: Health,
     pub(super) pace: Pace,
@@ -104,11 +109,22 @@
 
     /// Returns the load of this router and of all others together.
     pub(super) fn load(&self) -> Load {
+        self.sum(self.peers.values())
+    }
+
+    /// Returns the load that stands for a scope: that of this router and of narrower scopes.
+    pub(super) fn load_of(&self, scope: Scope) -> Load {
+        let narrower = self.peers.range(..Source { scope, id: 0 });
+        self.sum(narrower.map(|(_, load)| load))
+    }
+
+    fn sum<'a>(&self, peers: impl Iterator<Item = &'a (Load, Time)>) -> Load {
         let mut load = self.own;
-        for (peer, _) in self.peers.values() {
-            load.running += peer.running;
-            load.unread += peer.unread;
-            load.memory += peer.memory;
+        for (peer, _) in peers {
+            load.running = load.running.saturating_add(peer.running);
+            load.unread = load.unread.saturating_add(peer.unread);
+            load.memory = load.memory.saturating_add(peer.memory);
+            load.streaming = load.streaming.saturating_add(peer.streaming);
         }
         load
     }
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -174,7 +174,7 @@
             homes: self.homes(&request.ask, members),
             open,
             home_wait: request.ask.objective.mul_f64(home_part),
-            shared: !self.routers.is_empty(),
+            shared: self.routers > 1 || !self.sources.is_empty(),
         };
         let choices = members.iter().filter_map(|member| {
             let mut choice = match self.settings.baseline {
--- a/src/pool/timer.rs
+++ b/src/pool/timer.rs
@@ -13,7 +13,7 @@
     Time, //
 };
 
-/// The time for which another router's load is believed.
+/// The time for which the load that others have told is believed: some rounds of the exchange.
 const PEER_LIFE: Duration = Duration::from_millis(1_000);
 
 /// The part of the objective after which a target that says nothing is taken to hang, times.
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -1,4 +1,4 @@
-//! The exchange among gateways: datagrams with loads and service, sent to all that are known.
+//! The exchange among gateways: datagrams with loads and service, to those that [`Mesh`] names.
 
 use std::{
     cell::{
@@ -24,43 +24,54 @@
 use crate::{
     ids::{
         Incarnation,
-        Router,
         Time,
         id, //
     },
+    mesh::{
+        Mesh,
+        Round,
+        Scope,
+        Source, //
+    },
     settings::GatewaySettings,
     wire::Beacon, //
 };
 
-/// The interval of the datagrams: a part of the shortest objective, so that loads are fresh
-/// when a request is placed.
-const BEACON_INTERVAL: Duration = Duration::from_millis(100);
+/// The interval at which others are asked whom they know: an answer is some kilobytes long in a
+/// large fleet.
+const ASK_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The same interval at first, so that a fleet that starts at once is soon whole.
+const START_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long that is after the start.
+const START_TIME: Duration = Duration::from_secs(10);
 
-/// The time after which a gateway that says nothing is taken to be gone.
-const PEER_LIFE: Duration = Duration::from_millis(1_500);
+/// The routers that each datagram tells of; with some sixty datagrams a second each of 400
+/// routers is heard of once a second.
+const RUMORS: usize = 6;
 
-/// The interval at which all addresses that were ever known are tried.
-const SEED_INTERVAL: Duration = Duration::from_secs(1);
+/// The routers that are told to one that asks.
+const MOST_RUMORS: usize = 1_000;
+
+/// The pause after a datagram could not be read.
+const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// The largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 60_000;
 
-#[derive(Clone, Copy, Debug)]
-struct Heard {
-    router: Router,
-    incarnation: Incarnation,
-    sequence: u64,
-    at: Time,
-    /// Whether it stops; it still tells what it has at the targets.
-    leaving: bool,
-}
+/// The order in which figures are told: each scope sums up what the one before has gathered.
+const SCOPES: [Scope; 3] = [Scope::Router, Scope::Group, Scope::Domain];
 
-/// The other gateways that are known.
+/// The other gateways that are known, and the state of the exchange with them.
 #[derive(Debug)]
 pub(super) struct Peers {
     own: SocketAddr,
-    seeds: RefCell<Vec<IpAddr>>,
-    heard: RefCell<BTreeMap<IpAddr, Heard>>,
+    domain: u32,
+    mesh: RefCell<Mesh>,
+    /// The last datagram of each sender, by incarnation.
+    seen: RefCell<BTreeMap<IpAddr, (Incarnation, u64)>>,
+    rng: RefCell<fastrand::Rng>,
     sent: Cell<u64>,
     seeded: Cell<Time>,
     failing: Cell<bool>,
@@ -68,52 +79,59 @@
 
 impl Peers {
     pub(super) fn new(settings: &GatewaySettings) -> Self {
+        let domain = id(&settings.domain);
+        let seeds = settings.peers().collect();
         Self {
             own: settings.peer,
-            seeds: RefCell::new(settings.peers().collect()),
-            heard: RefCell::default(),
+            domain,
+            mesh: RefCell::new(Mesh::new(settings.peer.ip(), domain, seeds)),
+            seen: RefCell::default(),
+            rng: RefCell::default(),
             sent: Cell::new(0),
             seeded: Cell::new(Duration::ZERO),
             failing: Cell::new(false),
         }
     }
 
-    /// Returns the number of gateways that are heard.
+    /// Returns the number of gateways that are there.
     pub(super) fn len(&self) -> usize {
-        let heard = self.heard.borrow();
-        heard.values().filter(|heard| !heard.leaving).count()
+        self.mesh.borrow().len()
     }
 
     /// Notes a datagram and returns whether it is new.
-    fn note(&self, now: Time, from: IpAddr, beacon: &Beacon) -> bool {
-        let mut heard = self.heard.borrow_mut();
-        let known = heard.get(&from);
-        if known.is_some_and(|known| {
-            known.incarnation == beacon.incarnation && known.sequence >= beacon.sequence
-        }) {
+    fn is_new(&self, from: IpAddr, beacon: &Beacon) -> bool {
+        let mut seen = self.seen.borrow_mut();
+        let known = seen.get(&from);
+        let stale = |(incarnation, sequence): &(Incarnation, u64)| {
+            *incarnation == beacon.incarnation && *sequence >= beacon.sequence
+        };
+        if known.is_some_and(stale) {
             return false;
         }
-        let staying = known.is_some_and(|known| !known.leaving);
-        match (staying, beacon.leaving) {
-            (false, false) => log::info!("event=peer-joined peer={from}"),
-            (true, true) => log::info!("event=peer-left peer={from}"),
-            _ => {}
+        seen.insert(from, (beacon.incarnation, beacon.sequence));
+        true
+    }
+
+    /// Takes in what a datagram says of other gateways; returns the source of its figures, if
+    /// they count here.
+    fn note(&self, now: Time, from: IpAddr, beacon: &Beacon) -> Option<Source> {
+        let mut mesh = self.mesh.borrow_mut();
+        let changes = mesh.learn(now, &beacon.rumors);
+        let heard = mesh.hear(now, from, beacon.domain, beacon.leaving);
+        for change in changes.iter().chain(&heard) {
+            log::info!("{change}");
         }
-        let fresh = Heard {
-            router: beacon.router,
-            incarnation: beacon.incarnation,
-            sequence: beacon.sequence,
-            at: now,
-            leaving: beacon.leaving,
-        };
-        heard.insert(from, fresh);
-        let mut seeds = self.seeds.borrow_mut();
-        for ip in beacon.peers.iter().chain([&from]) {
-            if *ip != self.own.ip() && !seeds.contains(ip) {
-                seeds.push(*ip);
-            }
+        let counts = |source: &Source| mesh.counts(from, *source, beacon.groups);
+        beacon.source.filter(counts)
+    }
+
+    fn expire(&self, now: Time) {
+        let mut mesh = self.mesh.borrow_mut();
+        for change in mesh.expire(now) {
+            log::warn!("{change}");
         }
-        true
+        let mut seen = self.seen.borrow_mut();
+        seen.retain(|ip, _| mesh.knows(*ip));
     }
 
     /// Notes whether a datagram could not be sent; it is followed by the next one, so only the
@@ -128,73 +146,127 @@
         self.failing.set(failed);
     }
 
-    fn expire(&self, now: Time) {
-        self.heard.borrow_mut().retain(|ip, heard| {
-            let lives = now < heard.at + PEER_LIFE;
-            if !lives && !heard.leaving {
-                let router = heard.router;
-                log::warn!("event=peer-lost peer={ip} router={router:08x}");
-            }
-            lives
-        });
-    }
-
-    /// Returns where the next datagram goes: to all that are heard, and now and then to all
-    /// that were ever named.
-    fn destinations(&self, now: Time) -> Vec<IpAddr> {
-        if now >= self.seeded.get() + SEED_INTERVAL {
-            self.seeded.set(now);
-            return self.seeds.borrow().clone();
+    /// Returns the routers to ask now whom they know.
+    fn contacts(&self, now: Time) -> Vec<IpAddr> {
+        let interval = match now < START_TIME {
+            true => START_INTERVAL,
+            false => ASK_INTERVAL,
+        };
+        if now < self.seeded.get() + interval && self.sent.get() > 0 {
+            return Vec::new();
         }
-        self.heard.borrow().keys().copied().collect()
+        self.seeded.set(now);
+        self.mesh.borrow().contacts(&mut self.rng.borrow_mut())
     }
 }
 
 impl Process {
-    fn beacon(&self, leaving: bool) -> Beacon {
-        let pool = self.pool.borrow();
-        let sequence = self.peers.sent.get() + 1;
-        self.peers.sent.set(sequence);
+    /// Returns a datagram without figures that tells of up to `rumors` gateways.
+    fn beacon(&self, rumors: usize) -> Beacon {
+        let peers = &self.peers;
+        let sequence = peers.sent.get() + 1;
+        peers.sent.set(sequence);
+        let mesh = peers.mesh.borrow();
+        let rng = &mut peers.rng.borrow_mut();
         Beacon {
-            router: id(&self.settings.name),
+            domain: peers.domain,
             incarnation: self.incarnation,
             sequence,
-            peers: self.peers.heard.borrow().keys().copied().collect(),
-            loads: pool.loads(),
-            standings: pool.standings(self.clock.now()),
-            leaving,
+            leaving: self.is_stopping(),
+            rumors: mesh.rumors(self.clock.now(), rumors, rng),
+            ..Beacon::default()
+        }
+    }
+
+    /// Returns a datagram with what this gateway speaks for in a scope.
+    fn figures(&self, scope: Scope) -> Beacon {
+        let (source, groups) = self.peers.mesh.borrow().speaks_for(scope);
+        let pool = self.pool.borrow();
+        Beacon {
+            source: Some(source),
+            groups,
+            loads: pool.loads(scope),
+            standings: pool.standings(self.clock.now(), scope),
+            ..self.beacon(RUMORS)
         }
     }
 
-    fn take_beacon(&self, from: IpAddr, bytes: &[u8]) {
+    fn take_beacon(&self, from: IpAddr, bytes: &[u8]) -> Option<Beacon> {
         let beacon = match Beacon::decode(bytes) {
             Ok(beacon) => beacon,
-            Err(err) => return log::warn!("event=beacon-refused peer={from} error=\"{err}\""),
+            Err(err) => {
+                log::warn!("event=beacon-refused peer={from} error=\"{err}\"");
+                return None;
+            }
         };
+        if !self.peers.is_new(from, &beacon) {
+            return None;
+        }
         let now = self.clock.now();
-        if self.peers.note(now, from, &beacon) {
+        if let Some(source) = self.peers.note(now, from, &beacon) {
             let mut pool = self.pool.borrow_mut();
-            pool.peer(now, beacon.router, &beacon.loads, &beacon.standings);
+            pool.peer(now, source, &beacon.loads, &beacon.standings);
         }
+        beacon.asks.then(|| self.beacon(MOST_RUMORS))
     }
 
-    async fn send_beacon(&self, socket: &UdpSocket, leaving: bool) {
-        let now = self.clock.now();
-        self.peers.expire(now);
-        let mut bytes = match self.beacon(leaving).encode() {
+    /// Drops what was told by gateways that have gone or whose figures others tell now.
+    fn settle(&self) {
+        self.peers.expire(self.clock.now());
+        let mesh = self.peers.mesh.borrow();
+        let mut pool = self.pool.borrow_mut();
+        pool.set_routers(mesh.len() + 1);
+        pool.forget_all_but(|source| mesh.expects(source));
+    }
+
+    /// Tells the others what is theirs to know, and returns what it has cost.
+    async fn tell(&self, socket: &UdpSocket) -> Round {
+        let mut round = Round::default();
+        let mut failure = None;
+        for scope in SCOPES {
+            let listeners = self.peers.mesh.borrow().listeners(scope).to_vec();
+            if !listeners.is_empty() {
+                let beacon = self.figures(scope);
+                let bytes = self.send(socket, &beacon, &listeners, &mut failure).await;
+                round.add(bytes, listeners.len());
+            }
+        }
+        let contacts = self.peers.contacts(self.clock.now());
+        if !contacts.is_empty() {
+            let beacon = Beacon {
+                asks: true,
+                ..self.beacon(RUMORS)
+            };
+            self.send(socket, &beacon, &contacts, &mut failure).await;
+        }
+        self.peers.note_failure(failure);
+        round
+    }
+
+    /// Sends a datagram to others and returns its bytes.
+    async fn send(
+        &self,
+        socket: &UdpSocket,
+        beacon: &Beacon,
+        to: &[IpAddr],
+        failure: &mut Option<(IpAddr, io::Error)>,
+    ) -> usize {
+        let mut bytes = match beacon.encode() {
             Ok(bytes) => bytes,
-            Err(err) => return log::error!("event=beacon-failed error=\"{err}\""),
+            Err(err) => {
+                log::error!("event=beacon-failed error=\"{err}\"");
+                return 0;
+            }
         };
-        let mut failure = None;
-        for ip in self.peers.destinations(now) {
-            let to = SocketAddr::new(ip, self.peers.own.port());
-            let sent = socket.send_to(bytes, to).await;
+        for ip in to {
+            let address = SocketAddr::new(*ip, self.peers.own.port());
+            let sent = socket.send_to(bytes, address).await;
             bytes = sent.1;
             if let Err(err) = sent.0 {
-                failure = Some((ip, err));
+                *failure = Some((*ip, err));
             }
         }
-        self.peers.note_failure(failure);
+        bytes.len()
     }
 }
 
@@ -210,10 +282,18 @@
         let received = socket.recv_from(buffer).await;
         buffer = received.1;
         match received.0 {
-            Ok((length, from)) => process.take_beacon(from.ip(), &buffer[..length]),
+            Ok((length, from)) => {
+                if let Some(answer) = process.take_beacon(from.ip(), &buffer[..length]) {
+                    let mut failure = None;
+                    process
+                        .send(&socket, &answer, &[from.ip()], &mut failure)
+                        .await;
+                    process.peers.note_failure(failure);
+                }
+            }
             Err(err) => {
                 log::warn!("event=beacon-failed error=\"{err}\"");
-                sleep(BEACON_INTERVAL).await;
+                sleep(READ_PAUSE).await;
             }
         }
         buffer.clear();
@@ -223,7 +303,8 @@
 /// Sends this gateway's datagrams.
 pub(super) async fn speak(process: Rc<Process>, socket: Rc<UdpSocket>) {
     loop {
-        process.send_beacon(&socket, process.is_stopping()).await;
-        sleep(BEACON_INTERVAL).await;
+        process.settle();
+        let round = process.tell(&socket).await;
+        sleep(round.interval()).await;
     }
 }
--- a/src/wire/beacon.rs
+++ b/src/wire/beacon.rs
@@ -1,12 +1,11 @@
 //! The datagram that gateways send each other.
 
-use std::net::IpAddr;
-
 use super::Error;
 use crate::{
-    ids::{
-        Incarnation,
-        Router, //
+    ids::Incarnation,
+    mesh::{
+        Rumor,
+        Source, //
     },
     pool::{
         Load,
@@ -15,22 +14,29 @@
 };
 
 data! {
-    /// What a gateway has at its targets and has given to accounts.
+    /// What some gateways have at their targets and have given to accounts.
+    #[derive(Default)]
     pub struct Beacon {
-        /// The sender.
-        pub router: Router,
+        /// The sender's failure domain.
+        pub domain: u32,
         /// The sender's incarnation.
         pub incarnation: Incarnation,
         /// The number of this datagram; an older one is ignored.
         pub sequence: u64,
-        /// The gateways that the sender has heard of lately.
-        pub peers: Vec<IpAddr>,
-        /// What the sender has at each target.
-        pub loads: Vec<Load>,
-        /// What the sender has given to accounts lately.
-        pub standings: Vec<Standing>,
         /// Whether the sender is stopping.
         pub leaving: bool,
+        /// Whether the sender asks for the routers that the receiver knows.
+        pub asks: bool,
+        /// Some of the routers that the sender has heard of.
+        pub rumors: Vec<Rumor>,
+        /// Whose figures these are; none in a datagram without figures.
+        pub source: Option<Source>,
+        /// The groups into which the sender's failure domain falls.
+        pub groups: u32,
+        /// What these gateways have at each target.
+        pub loads: Vec<Load>,
+        /// What these gateways have given to accounts lately.
+        pub standings: Vec<Standing>,
     }
 }
 
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -6,6 +6,10 @@
 };
 
 use redwingyard::{
+    mesh::{
+        Scope,
+        Source, //
+    },
     pool::{
         Ask,
         Fault,
@@ -274,7 +278,7 @@
         unread: 60_000,
         ..Load::default()
     };
-    pool.peer(Duration::ZERO, 9, &[load], &[]);
+    pool.peer(Duration::ZERO, Source::router(9), &[load], &[]);
     let (_, outs) = pool.arrive(Duration::ZERO, prompt(7, "s", 1_000));
     assert!(sent(&outs).is_empty());
     // The other router is not heard any more.
@@ -382,7 +386,7 @@
         asked: vec![tally(1, 4_000_000), tally(2, 2_000_000), tally(3, 10_000)],
         refused: case.refused,
     };
-    pool.peer(Duration::ZERO, 9, &[load], &[standing]);
+    pool.peer(Duration::ZERO, Source::router(9), &[load], &[standing]);
     let (_, outs) = pool.arrive(millis(1), prompt(case.account, "s", 1_000));
     assert_eq!(!sent(&outs).is_empty(), case.sent);
 }
@@ -414,7 +418,7 @@
         asked: vec![tally(1, 2_000_000), tally(2, 2_000_000)],
         refused: Vec::new(),
     };
-    pool.peer(Duration::ZERO, 9, &[load], &[standing]);
+    pool.peer(Duration::ZERO, Source::router(9), &[load], &[standing]);
     let (_, outs) = pool.arrive(millis(1), ask());
     assert_eq!(!sent(&outs).is_empty(), case.sent);
 }
@@ -430,20 +434,16 @@
     }
     let standing = Standing {
         service: ENGINE,
-        given: ledger.given(Duration::ZERO),
-        asked: ledger.asked(Duration::ZERO),
-        refused: ledger.refused(Duration::ZERO),
+        given: ledger.given(Duration::ZERO, Scope::Router),
+        asked: ledger.asked(Duration::ZERO, Scope::Router),
+        refused: ledger.refused(Duration::ZERO, Scope::Router),
     };
     // Those that have the most are told.
     assert!(standing.asked.iter().all(|tally| tally.account > 4_000));
     let beacon = Beacon {
-        router: 1,
         incarnation: u64::MAX,
-        sequence: 1,
-        peers: Vec::new(),
-        loads: Vec::new(),
         standings: vec![standing],
-        leaving: false,
+        ..Beacon::default()
     };
     let bytes = beacon.encode().expect("it can be encoded").len();
     assert!(bytes < 60_000, "{bytes}");
@@ -459,7 +459,7 @@
         running: 64,
         ..Load::default()
     };
-    pool.peer(Duration::ZERO, 9, &[load], &[]);
+    pool.peer(Duration::ZERO, Source::router(9), &[load], &[]);
     let begun = Instant::now();
     for account in 1..=1_000 {
         pool.arrive(millis(1), prompt(account, "s", 1_000));
@@ -484,7 +484,7 @@
         }],
         ..Standing::default()
     };
-    pool.peer(Duration::ZERO, 9, &[], &[standing]);
+    pool.peer(Duration::ZERO, Source::router(9), &[], &[standing]);
     let filling: Vec<_> = (0..4).map(|_| pool.arrive(millis(1), ask(3)).0).collect();
     pool.arrive(millis(2), ask(1));
     let (least, outs) = pool.arrive(millis(3), ask(2));
@@ -503,7 +503,7 @@
         pool.arrive(Duration::ZERO, ask(7));
     }
     pool.tick(OBJECTIVE);
-    let standings = pool.standings(OBJECTIVE);
+    let standings = pool.standings(OBJECTIVE, Scope::Router);
     let [
         Standing {
             given,
