Watch the store instead of reading it whole at intervals

A failure, a lost history or silence is followed by a whole read. Tests: a change is in force within 0.3 s, also when the history was lost (0.6 s) or watches are silent (2.5 s); three seconds cost three calls.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,6 +23,7 @@
 };
 pub use store::{
     Store,
-    StoreError, //
+    StoreError,
+    Update, //
 };
 pub use targets::listing;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! The client of the platform's store, which can only be read.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -37,8 +38,8 @@
 /// What the keys of servers begin with.
 const SERVER_PREFIX: &str = "servers/";
 
-/// The time that a call may take: far longer than the store's answers, and short enough for
-/// several tries within the time in which a configuration must be in force.
+/// The time that a call may take beside what it waits: far longer than the store's answers, and
+/// short enough for several tries within the time in which a configuration must be in force.
 const CALL_LIMIT: Duration = Duration::from_millis(600);
 
 /// Why a call to the store failed.
@@ -68,13 +69,24 @@
     Rules(rules::Errors),
 }
 
+/// The number of the store's last change, of any key.
+type Revision = u64;
+
 #[derive(Deserialize)]
 struct Item {
     key: String,
     /// The value as base64 text.
     value: String,
     /// The store's counter at the last change of this item.
-    revision: u64,
+    revision: Revision,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Read {
+    #[serde(flatten)]
+    item: Item,
+    store_revision: Revision,
 }
 
 #[derive(Deserialize)]
@@ -86,15 +98,44 @@
     more_pages: bool,
 }
 
+/// A change of one key: an item as it was written, or the end of one.
+#[derive(Deserialize)]
+struct Event {
+    key: String,
+    /// The value as base64 text, unless the key was deleted.
+    #[serde(default)]
+    value: Option<String>,
+    revision: Revision,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Changes {
+    events: Vec<Event>,
+    store_revision: Revision,
+}
+
+/// What has changed in the store.
+#[derive(Debug, Default)]
+pub struct Update {
+    /// The newest rules, where they have changed.
+    pub rules: Option<Rules>,
+    /// All targets that are registered, where any has changed.
+    pub targets: Option<Vec<Listing>>,
+}
+
 /// A reader of the platform's store.
 ///
-/// Reads are linearizable: what one returns was in force at some time after it was begun.
-/// Whole reads are preferred to watches, since a watch may be silent or miss changes.
+/// Reads and watches are linearizable: what one returns was the newest at some time after it was
+/// begun. A watch that is silent, fails or has lost its history is followed by a whole read.
 #[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
     client: Option<Client>,
-    revision: Option<u64>,
+    /// Up to where the changes are known; nothing is known before a whole read.
+    seen: Option<Revision>,
+    config: Revision,
+    servers: BTreeMap<String, (Revision, Option<Listing>)>,
 }
 
 impl Store {
@@ -103,34 +144,36 @@
         Self {
             address,
             client: None,
-            revision: None,
+            seen: None,
+            config: 0,
+            servers: BTreeMap::new(),
         }
     }
 
-    /// Reads the rules; `None` where they have not changed since the last call.
+    /// Returns what has changed since the last call: all there is at first and after a failure,
+    /// else what changes within `wait`.
     ///
     /// # Errors
     ///
     /// Fails where the store does not answer or has no usable configuration.
-    pub async fn rules(&mut self) -> Result<Option<Rules>, StoreError> {
-        let body = self.get(&format!("kv-key?key={CONFIG_KEY}")).await?;
-        let item: Item = serde_json::from_slice(&body)?;
-        if self.revision == Some(item.revision) {
-            return Ok(None);
+    pub async fn next(&mut self, wait: Duration) -> Result<Update, StoreError> {
+        let update = match self.seen {
+            Some(seen) => self.watch(seen, wait).await,
+            None => self.read().await,
+        };
+        if update.is_err() {
+            self.seen = None;
         }
-        let text = rules_text(&STANDARD.decode(&item.value)?)?;
-        let rules = rules::from_str(&text)?;
-        self.revision = Some(item.revision);
-        Ok(Some(rules))
+        update
     }
 
-    /// Reads the targets that are registered; entries of other writers are left out.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the store does not answer.
-    pub async fn targets(&mut self) -> Result<Vec<Listing>, StoreError> {
-        let mut listings = Vec::new();
+    /// Reads everything.
+    async fn read(&mut self) -> Result<Update, StoreError> {
+        let path = format!("kv-key?key={CONFIG_KEY}");
+        let body = self.get(&path, Duration::ZERO).await?;
+        let read: Read = serde_json::from_slice(&body)?;
+        let rules = self.rules(read.item.revision, &read.item.value)?;
+        self.servers.clear();
         let mut after = String::new();
         loop {
             let mut path = format!("kv-range?prefix={SERVER_PREFIX}");
@@ -138,17 +181,83 @@
                 path.push_str("&after=");
                 path.push_str(&after);
             }
-            let body = self.get(&path).await?;
+            let body = self.get(&path, Duration::ZERO).await?;
             let page: Page = serde_json::from_slice(&body)?;
-            listings.extend(page.items.iter().filter_map(decode));
+            for item in &page.items {
+                self.serve(&item.key, item.revision, Some(&item.value));
+            }
             match page.items.last() {
                 Some(last) if page.more_pages => after = last.key.clone(),
-                _ => return Ok(listings),
+                _ => break,
             }
         }
+        // Pages are no snapshot: what changed after the first read comes again as an event.
+        self.seen = Some(read.store_revision);
+        Ok(Update {
+            rules,
+            targets: Some(self.targets()),
+        })
     }
 
-    async fn get(&mut self, path: &str) -> Result<Vec<u8>, StoreError> {
+    /// Waits for changes after a revision.
+    async fn watch(&mut self, seen: Revision, wait: Duration) -> Result<Update, StoreError> {
+        let millis = wait.as_millis();
+        let path = format!("kv-watch?prefix=&after={seen}&waitMs={millis}");
+        let body = self.get(&path, wait).await?;
+        let changes: Changes = serde_json::from_slice(&body)?;
+        let mut update = Update::default();
+        let mut changed = false;
+        for event in &changes.events {
+            if event.key.starts_with(SERVER_PREFIX) {
+                changed |= self.serve(&event.key, event.revision, event.value.as_deref());
+            }
+            if event.key == CONFIG_KEY
+                && let Some(value) = &event.value
+                && let Some(rules) = self.rules(event.revision, value)?
+            {
+                update.rules = Some(rules);
+            }
+        }
+        update.targets = changed.then(|| self.targets());
+        self.seen = Some(changes.store_revision.max(seen));
+        Ok(update)
+    }
+
+    /// Returns the rules in a configuration, unless they are no newer than those before.
+    fn rules(&mut self, revision: Revision, value: &str) -> Result<Option<Rules>, StoreError> {
+        if revision <= self.config {
+            return Ok(None);
+        }
+        let text = rules_text(&STANDARD.decode(value)?)?;
+        let rules = rules::from_str(&text)?;
+        self.config = revision;
+        Ok(Some(rules))
+    }
+
+    /// Takes in a server's entry, or its end, and returns whether it says anything new; what
+    /// another writer has left names no target.
+    fn serve(&mut self, key: &str, revision: Revision, value: Option<&str>) -> bool {
+        let known = self.servers.get(key);
+        if known.is_some_and(|(known, _)| *known >= revision) {
+            return false;
+        }
+        let name = key.strip_prefix(SERVER_PREFIX).unwrap_or(key);
+        let value = value.and_then(|value| STANDARD.decode(value).ok());
+        let listing = value.and_then(|value| listing(name, &value));
+        let before = known.and_then(|(_, listing)| listing.as_ref());
+        let changed = before != listing.as_ref();
+        self.servers.insert(key.to_owned(), (revision, listing));
+        changed
+    }
+
+    fn targets(&self) -> Vec<Listing> {
+        let listings = self.servers.values();
+        listings
+            .filter_map(|(_, listing)| listing.clone())
+            .collect()
+    }
+
+    async fn get(&mut self, path: &str, wait: Duration) -> Result<Vec<u8>, StoreError> {
         let client = match self.client.take() {
             Some(client) => client,
             None => Client::new()?,
@@ -161,7 +270,7 @@
                 status => Err(StoreError::Status(status)),
             }
         };
-        let body = timeout(CALL_LIMIT, call)
+        let body = timeout(wait + CALL_LIMIT, call)
             .await
             .unwrap_or(Err(StoreError::Silent))?;
         // A connection on which a call has failed is not used again.
@@ -169,9 +278,3 @@
         Ok(body)
     }
 }
-
-fn decode(item: &Item) -> Option<Listing> {
-    let name = item.key.strip_prefix(SERVER_PREFIX)?;
-    let value = STANDARD.decode(&item.value).ok()?;
-    listing(name, &value)
-}
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -8,16 +8,19 @@
 use compio::time::sleep;
 
 use super::process::Process;
-use crate::platform::{
-    Store,
-    StoreError, //
+use crate::{
+    ids::Time,
+    platform::{
+        Store,
+        Update, //
+    }, //
 };
 
-/// The interval of the reads: with one lost read, a change is still in force within two
-/// seconds.
-const READ_INTERVAL: Duration = Duration::from_millis(800);
+/// The time that a watch waits for changes. Its end confirms what is known as of its beginning,
+/// so two of them, with one that is lost, stay within the time for which keys are trusted.
+const WATCH_TIME: Duration = Duration::from_millis(1_400);
 
-/// The pause after a failed read.
+/// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Keeps the rules and the targets as new as the store has them.
@@ -25,33 +28,32 @@
     let mut store = Store::new(process.settings.store);
     let mut failing = false;
     loop {
-        let pause = match read(&process, &mut store, failing).await {
-            Ok(()) => {
+        let begun = process.clock.now();
+        match store.next(WATCH_TIME).await {
+            Ok(update) => {
                 if failing {
                     log::info!("event=store-regained");
                 }
+                take(&process, begun, update, failing);
                 failing = false;
-                READ_INTERVAL
             }
             Err(err) => {
                 if !failing {
                     log::warn!("event=store-lost error=\"{err}\"");
                 }
                 failing = true;
-                RETRY_PAUSE
+                sleep(RETRY_PAUSE).await;
             }
-        };
-        sleep(pause).await;
+        }
     }
 }
 
-async fn read(process: &Process, store: &mut Store, failing: bool) -> Result<(), StoreError> {
-    let begun = process.clock.now();
-    if let Some(rules) = store.rules().await? {
+fn take(process: &Process, begun: Time, update: Update, restored: bool) {
+    if let Some(rules) = update.rules {
         process.adopt(rules);
     }
     process.confirm(begun);
-    let list = store.targets().await?;
-    process.list(list, failing);
-    Ok(())
+    if let Some(targets) = update.targets {
+        process.list(targets, restored);
+    }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -41,7 +41,8 @@
         EVENTS,
         Instance,
         Mode, //
-    }, //
+    },
+    store::Items, //
 };
 
 const KEY: (&str, &str) = ("credential", "secret");
@@ -405,6 +406,38 @@
     assert_eq!(net.get("/read/1").status, 401);
 }
 
+struct Change {
+    /// What is wrong with the store.
+    trouble: fn(&Items),
+    /// The time in which a change must be in force.
+    limit: Duration,
+}
+
+#[rstest]
+#[case::sound(Change { trouble: |_| {}, limit: Duration::from_millis(300) })]
+#[case::history_lost(Change { trouble: Items::compact, limit: Duration::from_millis(600) })]
+#[case::watches_silent(Change { trouble: |items| items.set_silent(true), limit: Duration::from_millis(2_500) })]
+fn a_change_is_in_force_soon(#[case] case: Change) {
+    let net = Net::start(1);
+    (case.trouble)(&net.0.items);
+    net.configure(2, &["other"]);
+    let begun = Instant::now();
+    eventually("it is in force", || net.status(0)["generation"] == 2);
+    assert!(begun.elapsed() < case.limit, "{:?}", begun.elapsed());
+    assert_eq!(net.get("/read/1").status, 401);
+}
+
+/// While nothing changes, a call to the store is a watch that ends by itself.
+#[test]
+fn the_store_is_asked_seldom() {
+    let net = Net::start(1);
+    let before = net.0.items.calls();
+    thread::sleep(Duration::from_secs(3));
+    let calls = net.0.items.calls() - before;
+    assert!((2..=3).contains(&calls), "{calls}");
+    assert_eq!(net.get("/read/1").status, 200);
+}
+
 #[test]
 fn keys_are_not_trusted_for_long_without_the_store() {
     let net = Net::with(1, |settings| settings.trust_ms = Some(2_000.0));
