Follow the store on a thread of its own, and share confirmations

Cause: a gateway with more callers than processor time was late by seconds with all that it did, also with reading the store: keys unconfirmed, 404 for routes that came seconds ago, work for targets that leave. And each gateway paid alone for knowing that nothing has changed. Change: a thread follows the store; what it reads is taken in with the next request or tick.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -22,6 +22,9 @@
 /// The number of a rules file; a newer file has a larger one.
 pub type Generation = u64;
 
+/// The number of a change in the store; each change of any key has the next one.
+pub type Revision = u64;
+
 /// The sequence number that a router gives a request.
 pub type Sequence = u64;
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -29,6 +29,7 @@
     Mesh,
     Rumor, //
 };
+pub use plan::number;
 pub use round::Round;
 pub use source::{
     Scope,
--- a/src/mesh/plan.rs
+++ b/src/mesh/plan.rs
@@ -65,8 +65,13 @@
     }
 }
 
-/// Returns the number of a router.
-pub(super) fn number(ip: IpAddr) -> u32 {
+/// Returns the number of a router, the hash of its address.
+///
+/// ```
+/// use redwingyard::mesh::number;
+/// assert_ne!(number([10, 0, 0, 1].into()), number([10, 0, 0, 2].into()));
+/// ```
+pub fn number(ip: IpAddr) -> u32 {
     let hash = match ip {
         IpAddr::V4(ip) => xxh3_64(&ip.octets()),
         IpAddr::V6(ip) => xxh3_64(&ip.octets()),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,6 +26,7 @@
 };
 use crate::{
     feed::Listing,
+    ids::Revision,
     rules::{
         self,
         Rules, //
@@ -69,9 +70,6 @@
     Rules(rules::Errors),
 }
 
-/// The number of the store's last change, of any key.
-type Revision = u64;
-
 #[derive(Deserialize)]
 struct Item {
     key: String,
@@ -118,6 +116,8 @@
 /// What has changed in the store.
 #[derive(Debug, Default)]
 pub struct Update {
+    /// Up to where the changes are known now.
+    pub revision: Revision,
     /// The newest rules, where they have changed.
     pub rules: Option<Rules>,
     /// All targets that are registered, where any has changed.
@@ -194,6 +194,7 @@
         // Pages are no snapshot: what changed after the first read comes again as an event.
         self.seen = Some(read.store_revision);
         Ok(Update {
+            revision: read.store_revision,
             rules,
             targets: Some(self.targets()),
         })
@@ -219,10 +220,33 @@
             }
         }
         update.targets = changed.then(|| self.targets());
-        self.seen = Some(changes.store_revision.max(seen));
+        update.revision = changes.store_revision.max(seen);
+        self.seen = Some(update.revision);
         Ok(update)
     }
 
+    /// Returns whether everything has been read, so that the next call is a watch.
+    pub fn is_whole(&self) -> bool {
+        self.seen.is_some()
+    }
+
+    /// Has the next call read everything again.
+    pub fn reset(&mut self) {
+        self.seen = None;
+    }
+
+    /// Returns the revision of the newest change, of whatever key.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store does not answer.
+    pub async fn newest(&mut self) -> Result<Revision, StoreError> {
+        let path = format!("kv-key?key={CONFIG_KEY}");
+        let body = self.get(&path, Duration::ZERO).await?;
+        let read: Read = serde_json::from_slice(&body)?;
+        Ok(read.store_revision)
+    }
+
     /// Returns the rules in a configuration, unless they are no newer than those before.
     fn rules(&mut self, revision: Revision, value: &str) -> Result<Option<Rules>, StoreError> {
         if revision <= self.config {
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -1,6 +1,6 @@
 //! The log lines of a router.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use derive_more::Display;
 
@@ -25,9 +25,9 @@
         /// The attempt.
         id: RequestId,
         /// The account.
-        account: Rc<str>,
+        account: Arc<str>,
         /// The target.
-        target: Rc<str>,
+        target: Arc<str>,
         /// `grant` or `offer`.
         why: &'static str,
         /// The time since its arrival in microseconds.
@@ -43,7 +43,7 @@
         /// The attempt.
         id: RequestId,
         /// The target.
-        target: Rc<str>,
+        target: Arc<str>,
         /// Why.
         reason: Reason,
     },
@@ -53,7 +53,7 @@
         /// The attempt that was lost.
         id: RequestId,
         /// The target that had it.
-        target: Rc<str>,
+        target: Arc<str>,
     },
     /// An attempt was asked about on a new link.
     #[display("event=resume request={id} target={target} offset={offset}")]
@@ -61,7 +61,7 @@
         /// The attempt.
         id: RequestId,
         /// The target.
-        target: Rc<str>,
+        target: Arc<str>,
         /// The body bytes that the caller has.
         offset: u64,
     },
@@ -71,7 +71,7 @@
         /// The last attempt.
         id: RequestId,
         /// The account.
-        account: Rc<str>,
+        account: Arc<str>,
         /// Why.
         cause: Cause,
         /// Whether it ran.
--- a/src/rules/model.rs
+++ b/src/rules/model.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    rc::Rc, //
+    sync::Arc, //
 };
 
 use super::{
@@ -136,7 +136,7 @@
     accounts: HashMap<Account, usize>,
     targets: HashMap<Target, usize>,
     leaving: HashMap<Target, usize>,
-    names: HashMap<u32, Rc<str>>,
+    names: HashMap<u32, Arc<str>>,
     routes: HashMap<String, usize>,
     keys: HashMap<String, Account>,
 }
@@ -213,7 +213,7 @@
     /// assert_eq!(&*rules.name(5), "00000005");
     /// # Ok::<(), rules::Errors>(())
     /// ```
-    pub fn name(&self, id: u32) -> Rc<str> {
+    pub fn name(&self, id: u32) -> Arc<str> {
         match self.names.get(&id) {
             Some(name) => name.clone(),
             None => format!("{id:08x}").into(),
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -20,7 +20,7 @@
 use crate::ids::Time;
 
 /// A monotonic clock that starts at zero.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Clock {
     start: Duration,
     paused: Cell<Option<Time>>,
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -2,6 +2,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -62,7 +63,7 @@
     /// The caller's name for the request.
     pub(super) id: String,
     /// The account.
-    pub(super) account: Option<Rc<str>>,
+    pub(super) account: Option<Arc<str>>,
     /// The route's name.
     pub(super) route: String,
     /// The request's head.
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -2,6 +2,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -73,6 +74,7 @@
 
 async fn admit(process: &Rc<Process>, request: Request<Incoming>) -> Result<Call, Rejection> {
     let arrived = process.clock.now();
+    process.sync();
     let (head, body) = request.into_parts();
     let rules = process.rules();
     let envelope = platform::envelope(&head.headers);
@@ -130,7 +132,7 @@
     rules: &Rules,
     route: &Route,
     envelope: &Envelope,
-) -> Result<Option<Rc<str>>, Rejection> {
+) -> Result<Option<Arc<str>>, Rejection> {
     let digest = envelope
         .key
         .as_ref()
--- /dev/null
+++ b/src/shell/gateway/inbox.rs
@@ -0,0 +1,85 @@
+//! What the thread that follows the store tells the one that serves callers.
+//!
+//! The store is followed on a thread of its own, so that a gateway with more callers than it has
+//! processor time for still knows which rules, keys and targets there are.
+
+use std::sync::{
+    Mutex,
+    MutexGuard,
+    atomic::{
+        AtomicBool,
+        Ordering, //
+    }, //
+};
+
+use super::belief::Belief;
+use crate::{
+    feed::Listing,
+    ids::{
+        Revision,
+        Time, //
+    },
+    platform::Update,
+    rules::Rules, //
+};
+
+/// What has been read and not been taken in yet.
+#[derive(Debug, Default)]
+pub(super) struct News {
+    /// The newest rules.
+    pub(super) rules: Option<Rules>,
+    /// All targets.
+    pub(super) targets: Option<Vec<Listing>>,
+    /// Whether the targets were read after the store was away.
+    pub(super) restored: bool,
+}
+
+/// The state that both threads share.
+#[derive(Debug, Default)]
+pub(super) struct Inbox {
+    belief: Mutex<Belief>,
+    news: Mutex<News>,
+    /// Whether there are news.
+    fresh: AtomicBool,
+}
+
+impl Inbox {
+    /// Puts in what was read; it was the newest at a time.
+    pub(super) fn put(&self, now: Time, update: Update, at: Time, restored: bool) {
+        let revision = update.revision;
+        if update.rules.is_some() || update.targets.is_some() {
+            let mut news = lock(&self.news);
+            news.rules = update.rules.or(news.rules.take());
+            news.targets = update.targets.or(news.targets.take());
+            news.restored |= restored;
+            drop(news);
+            self.fresh.store(true, Ordering::Release);
+        }
+        let mut belief = self.belief();
+        belief.see(revision);
+        belief.hear(now, revision, at);
+    }
+
+    /// Takes out what was read since the last call.
+    pub(super) fn take(&self) -> Option<News> {
+        let fresh = self.fresh.swap(false, Ordering::Acquire);
+        fresh.then(|| std::mem::take(&mut *lock(&self.news)))
+    }
+
+    /// Notes that a revision of the store was the newest one at a time.
+    pub(super) fn hear(&self, now: Time, revision: Revision, at: Time) {
+        self.belief().hear(now, revision, at);
+    }
+
+    /// Returns what is known of the store.
+    pub(super) fn belief(&self) -> MutexGuard<'_, Belief> {
+        lock(&self.belief)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Nothing that is done under these locks leaves half a change when it panics.
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -1,9 +1,11 @@
 //! A gateway as a process: a router that sends to targets itself.
 
 mod attempt;
+mod belief;
 mod call;
 mod events;
 mod front;
+mod inbox;
 mod log;
 mod metrics;
 mod peers;
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -20,21 +20,30 @@
     time::sleep, //
 };
 
-use super::process::Process;
+use super::{
+    belief::Sent,
+    process::Process, //
+};
 use crate::{
     ids::{
         Incarnation,
+        Revision,
         Time,
         id, //
     },
     mesh::{
+        self,
         Mesh,
         Round,
         Scope,
         Source, //
     },
     settings::GatewaySettings,
-    wire::Beacon, //
+    wire::{
+        Beacon,
+        Echo,
+        Newest, //
+    }, //
 };
 
 /// The interval at which others are asked whom they know: an answer is some kilobytes long in a
@@ -63,14 +72,24 @@
 /// The order in which figures are told: each scope sums up what the one before has gathered.
 const SCOPES: [Scope; 3] = [Scope::Router, Scope::Group, Scope::Domain];
 
+/// The last datagram of another gateway.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    incarnation: Incarnation,
+    sequence: u64,
+    at: Time,
+}
+
 /// The other gateways that are known, and the state of the exchange with them.
 #[derive(Debug)]
 pub(super) struct Peers {
     own: SocketAddr,
     domain: u32,
     mesh: RefCell<Mesh>,
-    /// The last datagram of each sender, by incarnation.
-    seen: RefCell<BTreeMap<IpAddr, (Incarnation, u64)>>,
+    /// The last datagram of each sender.
+    seen: RefCell<BTreeMap<IpAddr, Seen>>,
+    /// When this gateway's own datagrams were sent.
+    times: RefCell<Sent>,
     rng: RefCell<fastrand::Rng>,
     sent: Cell<u64>,
     seeded: Cell<Time>,
@@ -86,6 +105,7 @@
             domain,
             mesh: RefCell::new(Mesh::new(settings.peer.ip(), domain, seeds)),
             seen: RefCell::default(),
+            times: RefCell::default(),
             rng: RefCell::default(),
             sent: Cell::new(0),
             seeded: Cell::new(Duration::ZERO),
@@ -99,19 +119,48 @@
     }
 
     /// Notes a datagram and returns whether it is new.
-    fn is_new(&self, from: IpAddr, beacon: &Beacon) -> bool {
+    fn is_new(&self, now: Time, from: IpAddr, beacon: &Beacon) -> bool {
         let mut seen = self.seen.borrow_mut();
-        let known = seen.get(&from);
-        let stale = |(incarnation, sequence): &(Incarnation, u64)| {
-            *incarnation == beacon.incarnation && *sequence >= beacon.sequence
+        let stale = |known: &Seen| {
+            known.incarnation == beacon.incarnation && known.sequence >= beacon.sequence
         };
-        if known.is_some_and(stale) {
+        if seen.get(&from).is_some_and(stale) {
             return false;
         }
-        seen.insert(from, (beacon.incarnation, beacon.sequence));
+        let fresh = Seen {
+            incarnation: beacon.incarnation,
+            sequence: beacon.sequence,
+            at: now,
+        };
+        seen.insert(from, fresh);
         true
     }
 
+    /// Returns the last datagrams of some others, so that they know how old this one is.
+    fn echoes(&self, now: Time, to: &[IpAddr]) -> Vec<Echo> {
+        let seen = self.seen.borrow();
+        let echo = |ip: &IpAddr| {
+            let seen = seen.get(ip)?;
+            Some(Echo {
+                router: mesh::number(*ip),
+                sequence: seen.sequence,
+                held: now.saturating_sub(seen.at).as_millis() as u32,
+            })
+        };
+        to.iter().filter_map(echo).collect()
+    }
+
+    /// Returns the newest revision that a datagram tells of, with a time at which it surely was.
+    fn newest(&self, beacon: &Beacon) -> Option<(Revision, Time)> {
+        let newest = beacon.newest?;
+        let own = mesh::number(self.own.ip());
+        let echo = beacon.echoes.iter().find(|echo| echo.router == own)?;
+        let times = self.times.borrow();
+        let millis = |time: u32| Duration::from_millis(u64::from(time));
+        let at = times.earliest(echo.sequence, millis(echo.held), millis(newest.age))?;
+        Some((newest.revision, at))
+    }
+
     /// Takes in what a datagram says of other gateways; returns the source of its figures, if
     /// they count here.
     fn note(&self, now: Time, from: IpAddr, beacon: &Beacon) -> Option<Source> {
@@ -164,8 +213,10 @@
     /// Returns a datagram without figures that tells of up to `rumors` gateways.
     fn beacon(&self, rumors: usize) -> Beacon {
         let peers = &self.peers;
+        let now = self.clock.now();
         let sequence = peers.sent.get() + 1;
         peers.sent.set(sequence);
+        peers.times.borrow_mut().note(sequence, now);
         let mesh = peers.mesh.borrow();
         let rng = &mut peers.rng.borrow_mut();
         Beacon {
@@ -173,20 +224,27 @@
             incarnation: self.incarnation,
             sequence,
             leaving: self.is_stopping(),
-            rumors: mesh.rumors(self.clock.now(), rumors, rng),
+            rumors: mesh.rumors(now, rumors, rng),
             ..Beacon::default()
         }
     }
 
     /// Returns a datagram with what this gateway speaks for in a scope.
-    fn figures(&self, scope: Scope) -> Beacon {
+    fn figures(&self, scope: Scope, to: &[IpAddr]) -> Beacon {
         let (source, groups) = self.peers.mesh.borrow().speaks_for(scope);
         let pool = self.pool.borrow();
+        let now = self.clock.now();
+        let newest = |(revision, at)| Newest {
+            revision,
+            age: now.saturating_sub(at).as_millis() as u32 + 1,
+        };
         Beacon {
+            echoes: self.peers.echoes(now, to),
+            newest: self.confirmed().map(newest),
             source: Some(source),
             groups,
             loads: pool.loads(scope),
-            standings: pool.standings(self.clock.now(), scope),
+            standings: pool.standings(now, scope),
             ..self.beacon(RUMORS)
         }
     }
@@ -199,10 +257,13 @@
                 return None;
             }
         };
-        if !self.peers.is_new(from, &beacon) {
+        let now = self.clock.now();
+        if !self.peers.is_new(now, from, &beacon) {
             return None;
         }
-        let now = self.clock.now();
+        if let Some((revision, at)) = self.peers.newest(&beacon) {
+            self.hear_newest(revision, at);
+        }
         if let Some(source) = self.peers.note(now, from, &beacon) {
             let mut pool = self.pool.borrow_mut();
             pool.peer(now, source, &beacon.loads, &beacon.standings);
@@ -226,7 +287,7 @@
         for scope in SCOPES {
             let listeners = self.peers.mesh.borrow().listeners(scope).to_vec();
             if !listeners.is_empty() {
-                let beacon = self.figures(scope);
+                let beacon = self.figures(scope, &listeners);
                 let bytes = self.send(socket, &beacon, &listeners, &mut failure).await;
                 round.add(bytes, listeners.len());
             }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -8,6 +8,7 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -18,6 +19,7 @@
 };
 
 use super::{
+    inbox::Inbox,
     log::Line,
     metrics::Metrics,
     peers::Peers, //
@@ -29,6 +31,7 @@
     },
     ids::{
         Incarnation,
+        Revision,
         Sequence,
         Target,
         Time,
@@ -93,7 +96,7 @@
     feed: RefCell<Feed>,
     orders: RefCell<HashMap<Sequence, UnboundedSender<Order>>>,
     dials: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
-    confirmed: Cell<Option<Time>>,
+    pub(super) inbox: Arc<Inbox>,
     stopping: Cell<Option<Time>>,
 }
 
@@ -115,7 +118,7 @@
             feed: RefCell::default(),
             orders: RefCell::default(),
             dials: RefCell::default(),
-            confirmed: Cell::new(None),
+            inbox: Arc::default(),
             stopping: Cell::new(None),
             settings,
         }
@@ -126,7 +129,7 @@
     }
 
     /// Puts rules in force, unless they are older than those that are.
-    pub(super) fn adopt(&self, rules: Rules) {
+    fn adopt(&self, rules: Rules) {
         let (old, new) = (self.rules().generation(), rules.generation());
         if new <= old {
             return log::warn!("event=rules-refused generation={new} in_force={old}");
@@ -140,7 +143,7 @@
     }
 
     /// Takes in the targets that are registered.
-    pub(super) fn list(&self, list: Vec<Listing>, restored: bool) {
+    fn list(&self, list: Vec<Listing>, restored: bool) {
         let now = self.clock.now();
         let changes = self.feed.borrow_mut().update(now, list, restored);
         for change in &changes {
@@ -196,15 +199,33 @@
         dials.entry(address).or_insert_with(new).clone()
     }
 
-    /// Notes that the rules in force were the newest at a time.
-    pub(super) fn confirm(&self, at: Time) {
-        self.confirmed.set(Some(at));
+    /// Takes in what was read from the store.
+    pub(super) fn sync(&self) {
+        let Some(news) = self.inbox.take() else {
+            return;
+        };
+        if let Some(rules) = news.rules {
+            self.adopt(rules);
+        }
+        if let Some(targets) = news.targets {
+            self.list(targets, news.restored);
+        }
+    }
+
+    /// Notes that a revision of the store was the newest one at a time.
+    pub(super) fn hear_newest(&self, revision: Revision, at: Time) {
+        self.inbox.hear(self.clock.now(), revision, at);
+    }
+
+    /// Returns up to where the store's changes are known, and when that was the newest revision.
+    pub(super) fn confirmed(&self) -> Option<(Revision, Time)> {
+        self.inbox.belief().confirmed()
     }
 
     /// Returns how long ago the rules were the newest, if they ever were.
     pub(super) fn age(&self) -> Option<Duration> {
         let now = self.clock.now();
-        self.confirmed.get().map(|at| now.saturating_sub(at))
+        self.confirmed().map(|(_, at)| now.saturating_sub(at))
     }
 
     /// Returns whether keys can be trusted: none of them was taken away long ago.
@@ -271,6 +292,7 @@
     }
 
     pub(super) fn tick(&self) {
+        self.sync();
         let outs = self.pool.borrow_mut().tick(self.clock.now());
         self.perform(outs);
     }
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -46,7 +46,7 @@
     front,
     peers,
     process::Process,
-    watch::watch, //
+    watch, //
 };
 use crate::{
     rules::Limit,
@@ -86,6 +86,8 @@
 pub struct GatewayProcess {
     process: Rc<Process>,
     door: Rc<Door>,
+    /// Ends the thread that follows the store when it is dropped.
+    _reader: oneshot::Sender<()>,
     /// The address for callers.
     pub http: SocketAddr,
     /// The address for operators.
@@ -149,12 +151,15 @@
         let name = settings.name.clone();
         let most = settings.connections.unwrap_or_else(most_connections);
         let process = Rc::new(Process::new(settings));
+        let (store, inbox) = (process.settings.store, process.inbox.clone());
+        let reader = watch::follow(store, inbox, process.clock.clone())?;
         let door = Rc::new(Door::new(most));
         let running = Self {
             http: listener.local_addr()?,
             admin: admin.local_addr()?,
             process: process.clone(),
             door: door.clone(),
+            _reader: reader,
         };
         log::info!(
             "event=start role=gateway name={name} version={} incarnation={:x} http={} admin={}",
@@ -166,7 +171,6 @@
         spawn(accept(process.clone(), door, listener)).detach();
         spawn(peers::listen(process.clone(), socket.clone())).detach();
         spawn(peers::speak(process.clone(), socket)).detach();
-        spawn(watch(process.clone())).detach();
         spawn(tick(process.clone())).detach();
         spawn(admin::serve(admin, move |path| page(&process, path))).detach();
         Ok(running)
--- a/src/sidecar/event.rs
+++ b/src/sidecar/event.rs
@@ -1,6 +1,6 @@
 //! The log lines of a sidecar.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use derive_more::Display;
 
@@ -25,7 +25,7 @@
         /// The grant.
         grant: u64,
         /// The account.
-        account: Rc<str>,
+        account: Arc<str>,
         /// The router where its request waits.
         router: Router,
         /// The account's usage.
@@ -37,7 +37,7 @@
         /// The attempt.
         id: RequestId,
         /// The account.
-        account: Rc<str>,
+        account: Arc<str>,
         /// `grant` or `offer`.
         via: &'static str,
     },
--- a/src/wire/beacon.rs
+++ b/src/wire/beacon.rs
@@ -2,7 +2,10 @@
 
 use super::Error;
 use crate::{
-    ids::Incarnation,
+    ids::{
+        Incarnation,
+        Revision, //
+    },
     mesh::{
         Rumor,
         Source, //
@@ -14,6 +17,26 @@
 };
 
 data! {
+    /// A datagram that was received.
+    #[derive(Copy)]
+    pub struct Echo {
+        /// The number of the router that sent it.
+        pub router: u32,
+        /// The datagram's own number.
+        pub sequence: u64,
+        /// How long ago it was received, in milliseconds, rounded down.
+        pub held: u32,
+    }
+
+    /// What was the newest revision of the store.
+    #[derive(Copy)]
+    pub struct Newest {
+        /// The revision.
+        pub revision: Revision,
+        /// How long ago it was known to be the newest, in milliseconds, rounded up.
+        pub age: u32,
+    }
+
     /// What some gateways have at their targets and have given to accounts.
     #[derive(Default)]
     pub struct Beacon {
@@ -29,6 +52,10 @@
         pub asks: bool,
         /// Some of the routers that the sender has heard of.
         pub rumors: Vec<Rumor>,
+        /// The last datagrams of those to whom this one goes.
+        pub echoes: Vec<Echo>,
+        /// Up to where the sender knows the store's changes.
+        pub newest: Option<Newest>,
         /// Whose figures these are; none in a datagram without figures.
         pub source: Option<Source>,
         /// The groups into which the sender's failure domain falls.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,7 +4,11 @@
 mod codec;
 mod message;
 
-pub use beacon::Beacon;
+pub use beacon::{
+    Beacon,
+    Echo,
+    Newest, //
+};
 pub use codec::{
     Decoder,
     Error,
