Blame no target for this process's own delays, and refuse before queueing

Cause: on small VMs that a flood reaches, the loop is late by a second. Change: a tick says how late it is (redwingyard_delay_ms); a late one gives silent targets as much time again; an attempt that has begun can't be abandoned; a connect that ends late is waited for again. A process with lasting delays says that it is not ready (event=strained). What could not be queued is refused from the request alone, with one line; an arrival looks for a place for itself, unless places have become free.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -77,6 +77,10 @@
 /// What belongs to one service.
 #[derive(Clone, Debug)]
 pub(super) struct Lane {
+    /// Whether places may have become free since the queue was last looked through.
+    pub(super) due: bool,
+    /// When the queue was last looked through.
+    pub(super) pumped: Option<Time>,
     pub(super) queue: Queue,
     pub(super) ledger: Ledger,
     pub(super) budget: Budget,
@@ -84,6 +88,14 @@
 }
 
 impl Lane {
+    /// Returns why a request of an account that may wait for `hold` can't be queued.
+    fn turns_away(&self, now: Time, account: Account, hold: Duration) -> Option<Refusal> {
+        if self.members.is_empty() {
+            return Some(Refusal::NoTarget);
+        }
+        (self.wait(now, account) > hold).then_some(Refusal::Overload)
+    }
+
     /// Returns the expected wait of a request of an account that joins now: those of accounts
     /// that have had less come first.
     fn wait(&self, now: Time, account: Account) -> Duration {
@@ -108,6 +120,8 @@
     /// What others have told something of.
     pub(super) sources: BTreeMap<Source, Told>,
     pub(super) timers: BTreeSet<(Time, Sequence)>,
+    /// Until when silence is no evidence against a target.
+    pub(super) excused: Time,
     last: Sequence,
     rng: fastrand::Rng,
 }
@@ -127,6 +141,7 @@
             routers: 1,
             sources: BTreeMap::new(),
             timers: BTreeSet::new(),
+            excused: Duration::ZERO,
             last: 0,
         }
     }
@@ -169,6 +184,8 @@
     pub(super) fn lane(&mut self, service: Service) -> &mut Lane {
         let retries = self.settings.retries;
         self.lanes.entry(service).or_insert_with(|| Lane {
+            due: false,
+            pumped: None,
             queue: Queue::default(),
             ledger: Ledger::default(),
             budget: Budget::new(retries),
@@ -198,18 +215,32 @@
         let lane = self.lane(service);
         lane.ledger.ask(now, account, work);
         lane.budget.earn();
-        if lane.members.is_empty() {
-            self.refuse(now, sequence, Refusal::NoTarget);
-        } else if lane.wait(now, account) > hold {
-            self.refuse(now, sequence, Refusal::Overload);
+        if let Some(cause) = lane.turns_away(now, account, hold) {
+            self.refuse(now, sequence, cause);
         } else {
             lane.queue.push(account, sequence);
             self.wake_at(sequence, now + hold);
-            self.pump(now, service);
+            self.pump_arrival(now, service, account);
         }
         (sequence, self.take())
     }
 
+    /// Refuses a request that could not be queued, without taking it in; returns why, and when to
+    /// come back.
+    ///
+    /// The load: an account asks for far more than its share, so that refusing it must cost next
+    /// to nothing.
+    pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<(Refusal, Duration)> {
+        let hold = super::place::hold(ask);
+        let work = self.work_of(ask);
+        let lane = self.lane(ask.service);
+        let cause = lane.turns_away(now, ask.account, hold)?;
+        lane.ledger.ask(now, ask.account, work);
+        lane.budget.earn();
+        lane.ledger.refuse(now, ask.account);
+        Some((cause, self.retry_time(now, ask)))
+    }
+
     /// Notes that the first byte of an answer has arrived.
     pub fn first(&mut self, now: Time, sequence: Sequence) -> Vec<Output> {
         let Some(request) = self.requests.get_mut(&sequence) else {
@@ -236,7 +267,7 @@
         }
         let (service, deadline) = (request.ask.service, request.ask.deadline);
         self.wake_at(sequence, deadline);
-        self.pump(now, service);
+        self.pump_soon(now, service);
         self.take()
     }
 
@@ -293,15 +324,10 @@
             return;
         };
         let ask = &request.ask;
-        self.lane(ask.service).ledger.refuse(now, ask.account);
-        let (service, account) = (ask.service, ask.account);
-        let lane = self.lane(service);
-        let (expected, waiting) = (lane.wait(now, account), lane.queue.len());
-        // Those refused together should not come back together.
-        let spread = 1.0 + self.rng.f64();
-        let wait = expected.max(MIN_RETRY).mul_f64(spread);
-        let left = ask.deadline.saturating_sub(now);
-        let retry = wait.min(left.mul_f64(RETRY_PART));
+        let lane = self.lane(ask.service);
+        lane.ledger.refuse(now, ask.account);
+        let waiting = lane.queue.len();
+        let retry = self.retry_time(now, ask);
         self.outs.push(Output::Refuse {
             sequence,
             cause,
@@ -310,6 +336,16 @@
         });
     }
 
+    /// Returns when a refused caller should come back.
+    fn retry_time(&mut self, now: Time, ask: &Ask) -> Duration {
+        let expected = self.lane(ask.service).wait(now, ask.account);
+        // Those refused together should not come back together.
+        let spread = 1.0 + self.rng.f64();
+        let wait = expected.max(MIN_RETRY).mul_f64(spread);
+        let left = ask.deadline.saturating_sub(now);
+        wait.min(left.mul_f64(RETRY_PART))
+    }
+
     fn remove(&mut self, sequence: Sequence) -> Option<Request> {
         let request = self.requests.remove(&sequence)?;
         self.timers.remove(&(request.wake, sequence));
@@ -363,7 +399,10 @@
 
     /// Returns what a request is charged to its account.
     pub(super) fn work(&self, sequence: Sequence) -> u64 {
-        let ask = &self.requests[&sequence].ask;
+        self.work_of(&self.requests[&sequence].ask)
+    }
+
+    fn work_of(&self, ask: &Ask) -> u64 {
         let share = self.shares.get(&ask.account).copied().unwrap_or(1);
         let work = ask
             .prompt
--- a/src/pool/exchange.rs
+++ b/src/pool/exchange.rs
@@ -42,6 +42,9 @@
                 member.peers.insert(source, (*load, now));
             }
         }
+        for lane in self.lanes.values_mut() {
+            lane.due = true;
+        }
         for standing in standings {
             let ledger = &mut self.lane(standing.service).ledger;
             ledger.merge(now, source, standing);
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -68,6 +68,9 @@
 /// The cost of each request per slot at a plain target, in milliseconds.
 const PLAIN_COST: f64 = 30.0;
 
+/// The least time between two looks through a queue: a small part of the shortest objective.
+const PUMP_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The requests of one account that are looked at for one that can be sent.
 const LOOK_AHEAD: usize = 8;
 
@@ -102,11 +105,38 @@
 }
 
 impl Pool {
-    /// Sends waiting requests of a service while targets can take them.
-    pub(super) fn pump(&mut self, now: Time, service: Service) {
+    /// Sends a request that has just been queued, if a target can take it. Places that have become
+    /// free go to those that wait first.
+    pub(super) fn pump_arrival(&mut self, now: Time, service: Service, account: Account) {
         let Some(lane) = self.lanes.get(&service) else {
             return;
         };
+        if lane.due {
+            return self.pump(now, service);
+        }
+        // What waits longer had no choice when it was looked at, and capacity has only shrunk.
+        let order = Order::new(&lane.ledger, now, self.rate);
+        if let Some((sequence, choice)) = self.next_request(now, service, account, &order) {
+            self.send(now, sequence, choice);
+        }
+    }
+
+    /// Sends waiting requests of a service where a place has become free, but looks through the
+    /// queue only now and then: that takes longer than all else that is done for a request.
+    pub(super) fn pump_soon(&mut self, now: Time, service: Service) {
+        let lane = self.lane(service);
+        lane.due = true;
+        if lane.pumped.is_none_or(|at| now >= at + PUMP_INTERVAL) {
+            self.pump(now, service);
+        }
+    }
+
+    /// Sends waiting requests of a service while targets can take them.
+    pub(super) fn pump(&mut self, now: Time, service: Service) {
+        let lane = self.lane(service);
+        lane.due = false;
+        lane.pumped = Some(now);
+        let lane = &self.lanes[&service];
         if lane.queue.is_empty() {
             return;
         }
--- a/src/pool/timer.rs
+++ b/src/pool/timer.rs
@@ -42,6 +42,12 @@
         self.take()
     }
 
+    /// Notes that this router has lost `time` up to now, and may not have read what has arrived:
+    /// what seems silent is given as much time again.
+    pub fn excuse(&mut self, now: Time, time: Duration) {
+        self.excused = now + time;
+    }
+
     fn wake(&mut self, now: Time, sequence: Sequence) {
         let Some(request) = self.requests.get(&sequence) else {
             return;
@@ -51,6 +57,9 @@
             Stage::Waiting if request.sends > 0 => self.refuse(now, sequence, Refusal::Attempts),
             Stage::Waiting => self.refuse(now, sequence, Refusal::Waited),
             _ if now >= deadline => self.outs.push(Output::Expire { sequence }),
+            Stage::Flying { read: false, .. } if now < self.excused => {
+                self.wake_at(sequence, self.excused.min(deadline));
+            }
             Stage::Flying { read: false, .. } => {
                 self.hang(sequence);
                 self.wake_at(sequence, deadline);
--- a/src/shell/dial.rs
+++ b/src/shell/dial.rs
@@ -59,6 +59,9 @@
 /// The idle time after which a connection is probed.
 const PROBE_IDLE: Duration = Duration::from_secs(1);
 
+/// How late a wait may end at most that counts.
+const LATE: Duration = Duration::from_millis(50);
+
 /// The limits of the connections to an address.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct DialLimits {
@@ -165,9 +168,10 @@
     }
 
     async fn connect(&self) -> Result<Sender, DialError> {
-        let stream = timeout(self.limits.connect, TcpStream::connect(self.address))
+        let connect = std::pin::pin!(TcpStream::connect(self.address));
+        let stream = within(self.limits.connect, connect)
             .await
-            .map_err(|_| DialError::Slow)??;
+            .ok_or(DialError::Slow)??;
         watch_silence(&stream)?;
         let (sender, connection) = Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER))
@@ -182,6 +186,19 @@
     }
 }
 
+/// Awaits work for a time; a wait that ends late does not count, as this process was busy then and
+/// may not have seen what has arrived.
+async fn within<F: Future + Unpin>(limit: Duration, mut work: F) -> Option<F::Output> {
+    loop {
+        let begun = Instant::now();
+        match timeout(limit, &mut work).await {
+            Ok(done) => return Some(done),
+            Err(_) if begun.elapsed() > limit + LATE => {}
+            Err(_) => return None,
+        }
+    }
+}
+
 /// Has the system end a connection whose peer no longer answers.
 fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -185,15 +185,34 @@
     }
 }
 
-/// Awaits work, unless the pool ends the attempt first.
-pub(super) async fn race<F: Future + Unpin>(
+/// Awaits the beginning of an answer, unless the pool ends the attempt first.
+async fn race<F: Future + Unpin>(
+    work: F,
+    orders: &mut UnboundedReceiver<Order>,
+) -> Result<F::Output, Tried> {
+    unless_ended(work, orders, true).await
+}
+
+/// Awaits more of an answer that has begun, unless the request's time ends first. That the target
+/// should be abandoned for its silence was decided before it began.
+pub(super) async fn race_begun<F: Future + Unpin>(
+    work: F,
+    orders: &mut UnboundedReceiver<Order>,
+) -> Result<F::Output, Tried> {
+    unless_ended(work, orders, false).await
+}
+
+async fn unless_ended<F: Future + Unpin>(
     mut work: F,
     orders: &mut UnboundedReceiver<Order>,
+    may_abandon: bool,
 ) -> Result<F::Output, Tried> {
     loop {
         match select(work, orders.next()).await {
             Either::Left((done, _)) => return Ok(done),
-            Either::Right((Some(Order::Abandon), _)) => return Err(Tried::Failed(Fault::Lost)),
+            Either::Right((Some(Order::Abandon), _)) if may_abandon => {
+                return Err(Tried::Failed(Fault::Lost));
+            }
             Either::Right((Some(Order::Expire) | None, _)) => return Err(Tried::Expired),
             Either::Right((Some(_), left)) => work = left,
         }
@@ -214,3 +233,55 @@
     })
     .detach();
 }
+
+#[cfg(test)]
+mod tests {
+    use compio::{
+        runtime::Runtime,
+        time::sleep, //
+    };
+    use futures_channel::mpsc::unbounded;
+
+    use super::*;
+
+    struct Stale {
+        order: Order,
+        begun: bool,
+        goes_on: bool,
+    }
+
+    /// The load: a router that is late itself takes a target for silent whose answer has come.
+    #[test]
+    fn an_answer_that_has_begun_is_not_abandoned() {
+        let cases = [
+            Stale {
+                order: Order::Abandon,
+                begun: false,
+                goes_on: false,
+            },
+            Stale {
+                order: Order::Abandon,
+                begun: true,
+                goes_on: true,
+            },
+            Stale {
+                order: Order::Expire,
+                begun: true,
+                goes_on: false,
+            },
+        ];
+        let runtime = Runtime::new().expect("a runtime");
+        for case in cases {
+            let (sender, mut orders) = unbounded();
+            sender.unbounded_send(case.order).expect("it is open");
+            let goes_on = runtime.block_on(async {
+                let read = std::pin::pin!(sleep(std::time::Duration::from_millis(5)));
+                match case.begun {
+                    true => race_begun(read, &mut orders).await.is_ok(),
+                    false => race(read, &mut orders).await.is_ok(),
+                }
+            });
+            assert_eq!(goes_on, case.goes_on, "{:?}", case.order);
+        }
+    }
+}
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -105,6 +105,16 @@
         deadline,
         prompt: envelope.prompt,
     };
+    if let Some((cause, retry)) = process.turn_away(&ask) {
+        let account = account.as_deref().unwrap_or("-");
+        log::info!(
+            "event=reject request={} cause=refused-{cause} account={account} route={} retry_ms={}",
+            envelope.id,
+            route.name,
+            retry.as_millis(),
+        );
+        return Err(Box::new(refusal(cause, retry)));
+    }
     let asked = CallerAsk {
         id: envelope.id,
         account,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -29,6 +29,7 @@
     pub(super) active: IntGauge,
     pub(super) generation: IntGauge,
     pub(super) rules_age: IntGauge,
+    pub(super) delay: IntGauge,
 }
 
 impl Metrics {
@@ -80,6 +81,10 @@
                 "redwingyard_rules_age_ms",
                 "Milliseconds since the rules in force were known to be the newest.",
             ),
+            delay: gauge(
+                "redwingyard_delay_ms",
+                "Milliseconds by which the last timer of this process was late.",
+            ),
             registry,
         }
     }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod refusal;
 mod relay;
 mod serve;
+mod strain;
 mod watch;
 
 pub use serve::GatewayProcess;
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -22,7 +22,8 @@
     inbox::Inbox,
     log::Line,
     metrics::Metrics,
-    peers::Peers, //
+    peers::Peers,
+    strain::Strain, //
 };
 use crate::{
     feed::{
@@ -67,6 +68,12 @@
 /// and short enough to try another target within an objective.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
+/// The interval of the pool's timers.
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The delay of a tick from which on this process is late: a part of the shortest objective.
+const LATE: Duration = Duration::from_millis(60);
+
 /// What confirmed rules may be younger than the limit for keys: the time in which a request
 /// may have been on its way, and what the platform's clock may differ.
 const TRUST_MARGIN: Duration = Duration::from_millis(400);
@@ -98,6 +105,8 @@
     dials: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     pub(super) inbox: Arc<Inbox>,
     stopping: Cell<Option<Time>>,
+    ticked: Cell<Time>,
+    strain: RefCell<Strain>,
 }
 
 impl Process {
@@ -120,6 +129,8 @@
             dials: RefCell::default(),
             inbox: Arc::default(),
             stopping: Cell::new(None),
+            ticked: Cell::new(Duration::ZERO),
+            strain: RefCell::default(),
             settings,
         }
     }
@@ -240,7 +251,8 @@
     /// Returns whether callers should be sent here.
     pub(super) fn is_ready(&self) -> bool {
         let serving = self.feed.borrow().serving().next().is_some();
-        self.rules().generation() > 0 && serving && self.is_trusted() && !self.is_stopping()
+        let knows = self.rules().generation() > 0 && serving && self.is_trusted();
+        knows && !self.strain.borrow().is_strained() && !self.is_stopping()
     }
 
     pub(super) fn stop(&self) {
@@ -251,6 +263,13 @@
         self.stopping.get().is_some()
     }
 
+    /// Refuses a request that could not be queued; returns why, and when to come back.
+    pub(super) fn turn_away(&self, ask: &Ask) -> Option<(Refusal, Duration)> {
+        let turned = self.pool.borrow_mut().turn_away(self.clock.now(), ask)?;
+        self.metrics.outcome(&format!("refused-{}", turned.0));
+        Some(turned)
+    }
+
     /// Takes a request in and returns where the decisions about it arrive.
     pub(super) fn arrive(&self, ask: Ask) -> (Sequence, UnboundedReceiver<Order>) {
         let (sender, receiver) = unbounded();
@@ -293,10 +312,30 @@
 
     pub(super) fn tick(&self) {
         self.sync();
+        self.note_delay();
         let outs = self.pool.borrow_mut().tick(self.clock.now());
         self.perform(outs);
     }
 
+    /// Notes how late this tick is, which all else in this process is as well.
+    fn note_delay(&self) {
+        let now = self.clock.now();
+        let due = self.ticked.replace(now) + TICK_INTERVAL;
+        let late = now.saturating_sub(due);
+        self.metrics.delay.set(late.as_millis() as i64);
+        if late >= LATE {
+            self.pool.borrow_mut().excuse(now, late);
+        }
+        let mut strain = self.strain.borrow_mut();
+        if let Some(strained) = strain.note(now, late) {
+            let delay = late.as_millis();
+            match strained {
+                true => log::warn!("event=strained delay_ms={delay}"),
+                false => log::info!("event=unstrained delay_ms={delay}"),
+            }
+        }
+    }
+
     fn perform(&self, outs: Vec<Output>) {
         for out in outs {
             log::info!("{}", Line::of(&out));
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -12,7 +12,7 @@
     attempt::{
         Answer,
         Tried,
-        race, //
+        race_begun, //
     },
     call::Call,
     events::{
@@ -88,7 +88,7 @@
             return Ok(false);
         };
         let frame = std::pin::pin!(body.frame());
-        match race(frame, &mut self.call.orders).await {
+        match race_begun(frame, &mut self.call.orders).await {
             Ok(None) => Ok(false),
             Ok(Some(Ok(frame))) => {
                 self.answer.data = frame.into_data().unwrap_or_default();
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -45,7 +45,10 @@
 use super::{
     front,
     peers,
-    process::Process,
+    process::{
+        Process,
+        TICK_INTERVAL, //
+    },
     watch, //
 };
 use crate::{
@@ -58,9 +61,6 @@
     }, //
 };
 
-/// The interval of the pool's timers.
-const TICK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The time after a stop is asked for in which callers may still come: two readiness checks a
 /// second apart, and the time until the second one is acted on.
 const LAST_CALLERS: Duration = Duration::from_millis(2_600);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -287,6 +287,19 @@
     assert_eq!(sent(&outs), [1]);
 }
 
+/// The load: a router that has not run for two seconds finds that a target has said nothing.
+#[test]
+fn a_target_is_not_blamed_for_the_routers_own_delay() {
+    let mut pool = pool(plain_seats(2));
+    let (sequence, outs) = pool.arrive(Duration::ZERO, ask(7));
+    assert_eq!(sent(&outs).len(), 1);
+    pool.excuse(millis(2_000), millis(1_900));
+    assert_eq!(pool.tick(millis(2_000)), []);
+    assert_eq!(pool.tick(millis(3_899)), []);
+    // It stays silent while the router is in time.
+    assert_eq!(pool.tick(millis(3_900)), [Output::Abandon { sequence }]);
+}
+
 /// Runs two engines in steps of 10 ms, each answer beginning after eight, and returns the
 /// account and the step of each request that was sent.
 fn serve(steps: u64, took: u64, arrivals: impl Fn(u64) -> Vec<u32>) -> Vec<(u32, u64)> {
