Heed what targets say of themselves, and bound what never ends

Cause: nothing read Server-Leaving or a target's own Retry-After. Bytes that never become an answer were read in one turn of the loop for as long as they came; the body of a refusal was read without a bound. Change: an answer that says that its target leaves drains the target here, whatever the registry says, until it starts again; other gateways are told. A refusal with a time to come back rests the target for that time; with all of them resting, requests are refused at once with the time that is left. A target that has turned unwelcome since it was chosen gets nothing. Reads of a connection pause after 16 that succeed; a refusal's body and an event that does not end have bounds in bytes. Ruled out: heads and bodies of 200s without end: hyper and the route's time bounded them before; the tests stay.

--- a/examples/standin/instance.rs
+++ b/examples/standin/instance.rs
@@ -26,7 +26,8 @@
     body::Incoming,
     header::{
         HeaderName,
-        HeaderValue, //
+        HeaderValue,
+        RETRY_AFTER, //
     }, //
 };
 
@@ -50,6 +51,9 @@
 /// The events after which a stream breaks, when it does.
 const BREAK_AFTER: usize = 3;
 
+/// How long a target wants no requests, when it says so.
+pub const REST: Duration = Duration::from_secs(2);
+
 /// What a target does with a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -58,6 +62,10 @@
     Serve,
     /// Says that it has not run it.
     Refuse,
+    /// Says that it has not run it and wants no requests for [`REST`].
+    Rest,
+    /// Answers it and says that it leaves.
+    Leave,
     /// Refuses it without saying whether it ran.
     Shed,
     /// Runs it and fails.
@@ -72,6 +80,7 @@
 struct State {
     mode: Mode,
     runs: Vec<HeaderMap>,
+    refused: u32,
     left: u32,
     /// The parts of prompts that it keeps, each named with all parts before it.
     kept: HashSet<String>,
@@ -121,6 +130,11 @@
         self.state.lock().expect("no holder panics").runs.clone()
     }
 
+    /// Returns how many requests it has refused as not run.
+    pub fn refused(&self) -> u32 {
+        self.state.lock().expect("no holder panics").refused
+    }
+
     /// Returns the prompt tokens that it has read.
     pub fn read(&self) -> u64 {
         self.state.lock().expect("no holder panics").read
@@ -166,12 +180,16 @@
         return status(StatusCode::MISDIRECTED_REQUEST);
     }
     let mode = instance.state.lock().expect("no holder panics").mode;
-    if mode == Mode::Refuse {
+    let one = HeaderValue::from_static("1");
+    if matches!(mode, Mode::Refuse | Mode::Rest) {
+        instance.state.lock().expect("no holder panics").refused += 1;
         let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
         let mark = HeaderName::from_static("not-executed");
-        response
-            .headers_mut()
-            .insert(mark, HeaderValue::from_static("1"));
+        response.headers_mut().insert(mark, one);
+        if mode == Mode::Rest {
+            let rest = HeaderValue::from(REST.as_secs());
+            response.headers_mut().insert(RETRY_AFTER, rest);
+        }
         return response;
     }
     let state = &instance.state;
@@ -212,6 +230,10 @@
         _ if is_stream => Response::new(pieces(events)),
         _ => Response::new(full(instance.name.clone())),
     };
+    if mode == Mode::Leave {
+        let leaving = HeaderName::from_static("server-leaving");
+        response.headers_mut().insert(leaving, one);
+    }
     if let Some(id) = head.headers.get("request-id") {
         response.headers_mut().insert("request-id", id.clone());
     }
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -32,6 +32,10 @@
     id, //
 };
 
+/// The time for which a target's own word that it leaves is remembered: far longer than any
+/// leaving takes.
+const LEAVING_TIME: Duration = Duration::from_secs(600);
+
 /// The time in which targets register again after the registry was away.
 pub const RESTORE_TIME: Duration = Duration::from_millis(2_000);
 
@@ -104,6 +108,15 @@
 pub struct Feed {
     known: BTreeMap<Target, Known>,
     grace: Option<Time>,
+    /// The targets that have said themselves that they leave, whatever the registry says.
+    leaving: BTreeMap<Target, Leaving>,
+}
+
+/// A target's own word that it leaves, which holds until it starts again.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    born: u64,
+    at: Time,
 }
 
 impl Feed {
@@ -115,6 +128,7 @@
             self.grace = Some(now + RESTORE_TIME);
         }
         let lenient = self.grace.is_some_and(|grace| now < grace);
+        self.leaving.retain(|_, said| now < said.at + LEAVING_TIME);
         let mut changes = Vec::new();
         let mut listed: BTreeMap<Target, Listing> = BTreeMap::new();
         for listing in list {
@@ -139,8 +153,10 @@
         changes
     }
 
-    fn note(&mut self, target: Target, listing: Listing) -> Option<Change> {
+    fn note(&mut self, target: Target, mut listing: Listing) -> Option<Change> {
         let name = listing.name.clone();
+        let said = self.leaving.get(&target);
+        listing.draining |= said.is_some_and(|said| said.born >= listing.born);
         let Some(known) = self.known.get_mut(&target) else {
             let draining = listing.draining;
             let known = Known {
@@ -177,6 +193,31 @@
         leaves.then_some(Change::Draining(name))
     }
 
+    /// Notes that a target that was started at `born` has said itself that it leaves; one that
+    /// starts again is new.
+    pub fn leave(&mut self, now: Time, target: Target, born: u64) -> Option<Change> {
+        let said = self.leaving.get(&target);
+        if said.is_some_and(|said| said.born >= born) {
+            return None;
+        }
+        self.leaving.insert(target, Leaving { born, at: now });
+        let known = self.known.get_mut(&target)?;
+        if known.listing.draining || known.listing.born > born {
+            return None;
+        }
+        known.listing.draining = true;
+        Some(Change::Draining(known.listing.name.clone()))
+    }
+
+    /// Returns the targets that have said since some time that they leave, with their starts.
+    pub fn leaving(&self, since: Time) -> impl Iterator<Item = (Target, u64)> {
+        let lately = self
+            .leaving
+            .iter()
+            .filter(move |(_, said)| said.at >= since);
+        lately.map(|(target, said)| (*target, said.born))
+    }
+
     /// Notes that another target answered at a target's address.
     pub fn moved(&mut self, target: Target) -> Option<Change> {
         let known = self.known.get_mut(&target)?;
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -5,7 +5,8 @@
 use hyper::header::{
     HeaderMap,
     HeaderName,
-    HeaderValue, //
+    HeaderValue,
+    RETRY_AFTER, //
 };
 
 use crate::pool::{
@@ -34,6 +35,9 @@
 /// The last event that the caller has of a stream.
 const EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
+/// Says that the target leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// The fields that only the system may set, so those of callers are dropped.
 const RESERVED: [&str; 8] = [
     "tenant",
@@ -85,6 +89,15 @@
     Foreign,
 }
 
+/// What a target's answer says of the target itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether it leaves, and must get no new requests.
+    pub leaving: bool,
+    /// How long it wants no requests from this router.
+    pub rest: Option<Duration>,
+}
+
 /// Reads a caller's header fields.
 ///
 /// ```
@@ -169,3 +182,26 @@
         _ => Verdict::Answer,
     }
 }
+
+/// Reads what a target's answer says of the target.
+///
+/// ```
+/// use std::time::Duration;
+/// use hyper::header::{HeaderMap, HeaderValue};
+/// use redwingyard::platform::notice;
+/// let mut headers = HeaderMap::new();
+/// headers.insert("retry-after", HeaderValue::from_static("1.5"));
+/// assert_eq!(notice(503, &headers).rest, Some(Duration::from_millis(1_500)));
+/// assert_eq!(notice(200, &headers).rest, None);
+/// headers.insert("server-leaving", HeaderValue::from_static("1"));
+/// assert!(notice(200, &headers).leaving);
+/// ```
+pub fn notice(status: u16, headers: &HeaderMap) -> Notice {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let seconds = text(&RETRY_AFTER).and_then(|value| value.trim().parse().ok());
+    let rest = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Notice {
+        leaving: text(&LEAVING).is_some_and(|value| value.trim() != "0"),
+        rest: rest.filter(|_| status == 503),
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,9 +16,11 @@
 pub use fields::{
     Address,
     Envelope,
+    Notice,
     Verdict,
     address,
     envelope,
+    notice,
     verdict, //
 };
 pub use store::{
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -88,14 +88,6 @@
 }
 
 impl Lane {
-    /// Returns why a request of an account that may wait for `hold` can't be queued.
-    fn turns_away(&self, now: Time, account: Account, hold: Duration) -> Option<Refusal> {
-        if self.members.is_empty() {
-            return Some(Refusal::NoTarget);
-        }
-        (self.wait(now, account) > hold).then_some(Refusal::Overload)
-    }
-
     /// Returns the expected wait of a request of an account that joins now: those of accounts
     /// that have had less come first.
     fn wait(&self, now: Time, account: Account) -> Duration {
@@ -212,10 +204,11 @@
         };
         self.requests.insert(sequence, request);
         let work = self.work(sequence);
+        let turned = self.turns_away(now, service, account, hold);
         let lane = self.lane(service);
         lane.ledger.ask(now, account, work);
         lane.budget.earn();
-        if let Some(cause) = lane.turns_away(now, account, hold) {
+        if let Some(cause) = turned {
             self.refuse(now, sequence, cause);
         } else {
             lane.queue.push(account, sequence);
@@ -233,8 +226,8 @@
     pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<(Refusal, Duration)> {
         let hold = super::place::hold(ask);
         let work = self.work_of(ask);
+        let cause = self.turns_away(now, ask.service, ask.account, hold)?;
         let lane = self.lane(ask.service);
-        let cause = lane.turns_away(now, ask.account, hold)?;
         lane.ledger.ask(now, ask.account, work);
         lane.budget.earn();
         lane.ledger.refuse(now, ask.account);
@@ -336,9 +329,37 @@
         });
     }
 
+    /// Returns why a request of an account that may wait for `hold` can't be queued.
+    fn turns_away(
+        &self,
+        now: Time,
+        service: Service,
+        account: Account,
+        hold: Duration,
+    ) -> Option<Refusal> {
+        let lane = self.lanes.get(&service);
+        let Some(lane) = lane.filter(|lane| !lane.members.is_empty()) else {
+            return Some(Refusal::NoTarget);
+        };
+        if self.rest_left(now, lane) > hold {
+            return Some(Refusal::Resting);
+        }
+        (lane.wait(now, account) > hold).then_some(Refusal::Overload)
+    }
+
+    /// Returns how long it takes until a target of a lane wants requests.
+    fn rest_left(&self, now: Time, lane: &Lane) -> Duration {
+        let members = lane.members.iter();
+        let members = members.filter_map(|target| self.members.get(target));
+        let rests = members.map(|member| member.health.resting(now));
+        rests.min().unwrap_or_default()
+    }
+
     /// Returns when a refused caller should come back.
     fn retry_time(&mut self, now: Time, ask: &Ask) -> Duration {
-        let expected = self.lane(ask.service).wait(now, ask.account);
+        let lane = &self.lanes[&ask.service];
+        let wait = lane.wait(now, ask.account);
+        let expected = wait.max(self.rest_left(now, lane));
         // Those refused together should not come back together.
         let spread = 1.0 + self.rng.f64();
         let wait = expected.max(MIN_RETRY).mul_f64(spread);
--- a/src/pool/health.rs
+++ b/src/pool/health.rs
@@ -13,12 +13,17 @@
 /// The longest pause, short enough to find a target that is back within seconds.
 const MAX_PAUSE: Duration = Duration::from_millis(2_400);
 
+/// The longest rest that a target gets: one that asks for more has a wrong clock or is wrong.
+const MAX_REST: Duration = Duration::from_secs(300);
+
 /// A target's recent outcomes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failing: f64,
     until: Time,
     pause: Duration,
+    /// Until when the target itself wants no requests.
+    rest: Time,
 }
 
 impl Health {
@@ -59,6 +64,25 @@
         now < self.until
     }
 
+    /// Notes that the target wants no requests for some time.
+    pub fn rest(&mut self, now: Time, time: Duration) {
+        self.rest = self.rest.max(now.saturating_add(time.min(MAX_REST)));
+    }
+
+    /// Returns how much longer the target wants no requests.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use redwingyard::pool::Health;
+    /// let mut health = Health::default();
+    /// health.rest(Duration::ZERO, Duration::from_secs(2));
+    /// health.succeed();
+    /// assert_eq!(health.resting(Duration::from_millis(500)), Duration::from_millis(1_500));
+    /// ```
+    pub fn resting(&self, now: Time) -> Duration {
+        self.rest.saturating_sub(now)
+    }
+
     /// Returns the recent share of failures, from 0 to 1.
     pub fn failing(&self) -> f64 {
         self.failing
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -109,6 +109,9 @@
     /// No target of the service is known.
     #[display("no-target")]
     NoTarget,
+    /// Every target has said that it wants no requests for now.
+    #[display("resting")]
+    Resting,
     /// Every attempt that it may make has failed.
     #[display("attempts")]
     Attempts,
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -192,7 +192,10 @@
             .members
             .iter()
             .filter_map(|target| self.members.get(target));
-        let fresh = |member: &&Member| !request.tried.contains(&member.seat.target);
+        let fresh = |member: &&Member| {
+            let tried = request.tried.contains(&member.seat.target);
+            !tried && member.health.resting(now).is_zero()
+        };
         let fresh: Vec<_> = members.filter(fresh).collect();
         let trusted = |member: &&&Member| !member.health.is_avoided(now);
         let trusted: Vec<_> = fresh.iter().filter(trusted).copied().collect();
--- a/src/pool/retry.rs
+++ b/src/pool/retry.rs
@@ -1,5 +1,7 @@
 //! Attempts that have failed, and whether another one follows.
 
+use std::time::Duration;
+
 use super::{
     Fault,
     Output,
@@ -69,6 +71,19 @@
         safe && left && others && (fault == Fault::Unreachable || self.lane(service).budget.spend())
     }
 
+    /// Notes that a target wants no requests for some time.
+    pub fn rest(&mut self, now: Time, target: Target, time: Duration) {
+        if let Some(member) = self.members.get_mut(&target) {
+            member.health.rest(now, time);
+        }
+    }
+
+    /// Returns whether a request may be sent to a target now, as far as the target wants any.
+    pub fn is_welcome(&self, now: Time, target: Target) -> bool {
+        let member = self.members.get(&target);
+        member.is_some_and(|member| member.health.resting(now).is_zero())
+    }
+
     fn has_untried(&self, sequence: Sequence) -> bool {
         let request = &self.requests[&sequence];
         let lane = self.lanes.get(&request.ask.service);
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -1,12 +1,18 @@
 //! One attempt at a target, up to the beginning of its answer.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use bytes::{
     Bytes,
     BytesMut, //
 };
-use compio::runtime::spawn;
+use compio::{
+    runtime::spawn,
+    time::timeout, //
+};
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::{
     StreamExt,
@@ -17,7 +23,8 @@
 };
 use http_body_util::{
     BodyExt,
-    Full, //
+    Full,
+    Limited, //
 };
 use hyper::{
     Request,
@@ -49,6 +56,12 @@
 /// they can still be tried elsewhere when they break off.
 const MAX_HELD: usize = 256 << 10;
 
+/// The longest body of a refusal that is read so that its connection can be used again, in bytes.
+const MAX_REST: usize = 16 << 10;
+
+/// The time that reading it may take.
+const REST_LIMIT: Duration = Duration::from_millis(500);
+
 /// An answer whose beginning has arrived.
 pub(super) struct Answer {
     pub(super) head: response::Parts,
@@ -73,7 +86,7 @@
 impl Call {
     /// Sends the request to a target and waits for the beginning of an answer.
     pub(super) async fn attempt(&mut self, target: Target, resume: Option<&str>) -> Tried {
-        let Some(listing) = self.process.target(target) else {
+        let Some(listing) = self.process.open_target(target) else {
             return Tried::Failed(Fault::Unreachable);
         };
         log::info!(
@@ -108,11 +121,13 @@
             }
         };
         let (head, body) = response.into_parts();
+        let notice = platform::notice(head.status.as_u16(), &head.headers);
         match platform::verdict(head.status.as_u16(), &head.headers, &self.ask.id) {
-            Verdict::Answer => {}
+            Verdict::Answer => self.process.heed(target, notice),
             // The answer belongs to no request that is known; ours may have run.
             Verdict::Foreign => return Tried::Failed(Fault::Lost),
             Verdict::Unrun => {
+                self.process.heed(target, notice);
                 reuse_after(body, sender, connections, head);
                 return Tried::Failed(Fault::Refused);
             }
@@ -227,7 +242,8 @@
     head: response::Parts,
 ) {
     spawn(async move {
-        if body.collect().await.is_ok() {
+        let rest = Limited::new(body, MAX_REST).collect();
+        if matches!(timeout(REST_LIMIT, rest).await, Ok(Ok(_))) {
             connections.keep(sender, &head.headers);
         }
     })
--- a/src/shell/gateway/events.rs
+++ b/src/shell/gateway/events.rs
@@ -8,6 +8,9 @@
 /// What ends an event (the HTML standard's event stream format).
 const END: &[u8] = b"\n\n";
 
+/// The longest event that is waited for, in bytes: some hundred tokens' text.
+const MAX_EVENT: usize = 64 << 10;
+
 /// The field with an event's name.
 const ID: &[u8] = b"id:";
 
@@ -31,10 +34,12 @@
         let whole = match self.partial.is_empty() {
             true if data.ends_with(END) => data,
             _ => {
+                // The end of an event may lie across the old bytes and the new ones.
+                let from = self.partial.len().saturating_sub(END.len() - 1);
                 self.partial.extend_from_slice(&data);
-                let ends = self.partial.windows(END.len());
+                let ends = self.partial[from..].windows(END.len());
                 let last = ends.rposition_of(END);
-                let length = last.map_or(0, |at| at + END.len());
+                let length = last.map_or(0, |at| from + at + END.len());
                 self.partial.split_to(length).freeze()
             }
         };
@@ -44,6 +49,11 @@
         whole
     }
 
+    /// Returns whether an event has become longer than any that a target makes.
+    pub(super) fn is_endless(&self) -> bool {
+        self.partial.len() > MAX_EVENT
+    }
+
     /// Returns the bytes of an event that has not ended.
     pub(super) fn rest(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -224,6 +224,7 @@
             incarnation: self.incarnation,
             sequence,
             leaving: self.is_stopping(),
+            drains: self.leaving(),
             rumors: mesh.rumors(now, rumors, rng),
             ..Beacon::default()
         }
@@ -268,6 +269,9 @@
             let mut pool = self.pool.borrow_mut();
             pool.peer(now, source, &beacon.loads, &beacon.standings);
         }
+        for (target, born) in &beacon.drains {
+            self.leave(*target, *born);
+        }
         beacon.asks.then(|| self.beacon(MOST_RUMORS))
     }
 
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -38,6 +38,7 @@
         Time,
         id, //
     },
+    platform::Notice,
     pool::{
         Ask,
         Fault,
@@ -68,6 +69,9 @@
 /// and short enough to try another target within an objective.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
+/// The time for which other gateways are told that a target leaves: many rounds of the exchange.
+const LEAVING_TOLD: Duration = Duration::from_secs(5);
+
 /// The interval of the pool's timers.
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -165,6 +169,47 @@
         }
     }
 
+    /// Takes in what a target's answer says of the target.
+    pub(super) fn heed(&self, target: Target, notice: Notice) {
+        let now = self.clock.now();
+        if let Some(rest) = notice.rest {
+            log::info!(
+                "event=target-rests target={target:08x} rest_ms={}",
+                rest.as_millis()
+            );
+            self.pool.borrow_mut().rest(now, target, rest);
+        }
+        if notice.leaving {
+            let born = self.target(target).map_or(0, |listing| listing.born);
+            self.leave(target, born);
+        }
+    }
+
+    /// Notes that a target has said, here or to another gateway, that it leaves.
+    pub(super) fn leave(&self, target: Target, born: u64) {
+        let now = self.clock.now();
+        let change = self.feed.borrow_mut().leave(now, target, born);
+        if let Some(change) = change {
+            log::info!("{change}");
+            self.reseat();
+        }
+    }
+
+    /// Returns the targets that have said lately that they leave, with their starts.
+    pub(super) fn leaving(&self) -> Vec<(Target, u64)> {
+        let since = self.clock.now().saturating_sub(LEAVING_TOLD);
+        self.feed.borrow().leaving(since).collect()
+    }
+
+    /// Returns a target that may still get a request which was meant for it a moment ago.
+    pub(super) fn open_target(&self, target: Target) -> Option<Listing> {
+        self.sync();
+        let now = self.clock.now();
+        let open = self.pool.borrow().is_welcome(now, target);
+        let listing = self.target(target)?;
+        (open && !listing.draining).then_some(listing)
+    }
+
     /// Notes that another target answered at a target's address.
     pub(super) fn moved(&self, target: Target) {
         let change = self.feed.borrow_mut().moved(target);
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -64,7 +64,12 @@
             relay.call.process.events(relay.call.sequence, count);
             return Some((Ok(Frame::data(whole)), relay));
         }
-        match relay.read().await {
+        let endless = relay.events.as_ref().is_some_and(Events::is_endless);
+        let read = match endless {
+            true => relay.resume().await.map(|()| true),
+            false => relay.read().await,
+        };
+        match read {
             Ok(true) => {}
             Ok(false) => {
                 relay.finish();
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -27,26 +27,45 @@
 };
 use socket2::Socket;
 
+/// The reads that succeed one after another before other tasks have their turn: a peer that sends
+/// without end must not keep the process to itself.
+const MAX_STREAK: u32 = 16;
+
 /// A connection without buffers of its own.
 #[derive(Debug)]
-pub(super) struct Stream(PollFd<Socket>);
+pub(super) struct Stream {
+    socket: PollFd<Socket>,
+    /// The reads that have succeeded one after another.
+    streak: u32,
+}
 
 impl Stream {
     /// Wraps a connection.
     pub(super) fn new(stream: TcpStream) -> io::Result<Self> {
-        Ok(Self(stream.into_poll_fd()?))
+        let socket = stream.into_poll_fd()?;
+        Ok(Self { socket, streak: 0 })
     }
 }
 
 impl Read for Stream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.streak >= MAX_STREAK {
+            self.streak = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         // SAFETY: `recv` only writes to the buffer, and never makes it uninitialized.
         let space = unsafe { buf.as_mut() };
-        let read = ready!(self.0.poll_read_with(cx, |socket| socket.recv(space)))?;
+        let polled = self.socket.poll_read_with(cx, |socket| socket.recv(space));
+        self.streak = match polled {
+            Poll::Ready(_) => self.streak + 1,
+            Poll::Pending => 0,
+        };
+        let read = ready!(polled)?;
         // SAFETY: `recv` has initialized that many bytes.
         unsafe { buf.advance(read) };
         Poll::Ready(Ok(()))
@@ -59,7 +78,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.poll_write_with(cx, |socket| socket.send(buf))
+        self.socket.poll_write_with(cx, |socket| socket.send(buf))
     }
 
     fn poll_write_vectored(
@@ -67,7 +86,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.0
+        self.socket
             .poll_write_with(cx, |socket| socket.send_vectored(bufs))
     }
 
@@ -80,7 +99,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.0.shutdown(std::net::Shutdown::Write) {
+        match self.socket.shutdown(std::net::Shutdown::Write) {
             Err(err) if err.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
             result => Poll::Ready(result),
         }
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -66,6 +66,10 @@
             "It has not run: no target of its service was registered; look at the store and the \
              service."
         }
+        "refused-resting" => {
+            "It has not run: every target of its service had refused requests of this process \
+             and named a time that was not over; look at the targets."
+        }
         "no-rules" | "unconfirmed-rules" => {
             "It has not run: the process did not know, or could not confirm, the rules; look at \
              the store."
--- a/src/wire/beacon.rs
+++ b/src/wire/beacon.rs
@@ -4,7 +4,8 @@
 use crate::{
     ids::{
         Incarnation,
-        Revision, //
+        Revision,
+        Target, //
     },
     mesh::{
         Rumor,
@@ -56,6 +57,8 @@
         pub echoes: Vec<Echo>,
         /// Up to where the sender knows the store's changes.
         pub newest: Option<Newest>,
+        /// The targets that have said lately that they leave, with their starts.
+        pub drains: Vec<(Target, u64)>,
         /// Whose figures these are; none in a datagram without figures.
         pub source: Option<Source>,
         /// The groups into which the sender's failure domain falls.
--- /dev/null
+++ b/tests/targets.rs
@@ -0,0 +1,242 @@
+//! Gateways over loopback and targets that say something of themselves, or send without end.
+
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use compio::runtime::Runtime;
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+use standin::{
+    client::{
+        Answer,
+        Client, //
+    },
+    gateways::{
+        self,
+        Region, //
+    },
+    instance::{
+        Instance,
+        Mode,
+        REST, //
+    }, //
+};
+
+const HOST: (&str, &str) = ("host", "a.example");
+
+/// The longest time that a request may take, from its route.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the machine may add to it.
+const MARGIN: Duration = Duration::from_millis(800);
+
+fn config() -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "host": "a.example", "prefix": prefix, "kind": kind,
+            "timeoutMs": TIMEOUT.as_millis() as u64, "targetLatencyMs": 400, "service": service,
+            "maxAttempts": 2, "resumable": resumable,
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [
+            route("read", "/read/", "safe", "web", false),
+            route("raw", "/raw/", "safe", "raw", false),
+            route("resume", "/raw/resume/", "streaming", "raw", true),
+        ],
+        "services": [{ "name": "web" }, { "name": "raw" }],
+    })
+}
+
+fn start(gateways: u8) -> Region {
+    let targets = vec![Instance::new("i-1"), Instance::new("i-2")];
+    Region::start(gateways, "web", targets, &config(), |_| {})
+}
+
+fn ask(address: SocketAddr, path: &str, id: &str) -> Option<Answer> {
+    let fields = [HOST, ("request-id", id)];
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(Client::new(address).send("GET", path, &fields, ""))
+}
+
+fn status(address: SocketAddr) -> u16 {
+    ask(address, "/read/1", "r").expect("an answer").status
+}
+
+struct Said {
+    gateways: u8,
+    /// Whether the target starts again afterwards.
+    reborn: bool,
+}
+
+#[rstest]
+#[case::to_one(Said { gateways: 1, reborn: false })]
+#[case::to_another(Said { gateways: 2, reborn: false })]
+#[case::before_its_new_start(Said { gateways: 2, reborn: true })]
+fn a_target_that_says_that_it_leaves_gets_nothing_more(#[case] case: Said) {
+    let region = start(case.gateways);
+    let first = region.gateways[0].addresses.http;
+    region
+        .targets
+        .iter()
+        .for_each(|target| target.set(Mode::Leave));
+    // Each of them says so with its first answer, which is passed on.
+    assert_eq!([status(first), status(first)], [200; 2]);
+    thread::sleep(Duration::from_millis(500));
+    // The registry still says that they are ready.
+    gateways::register(&region.items, "i-1", "web", region.addresses[0], "ready");
+    thread::sleep(Duration::from_millis(300));
+    for gateway in &region.gateways {
+        assert_eq!(status(gateway.addresses.http), 503);
+    }
+    let runs = region.targets.iter().map(|target| target.runs().len());
+    assert_eq!(runs.sum::<usize>(), 2);
+    if case.reborn {
+        region.targets[0].set(Mode::Serve);
+        let entry = json!({
+            "service": "web", "address": region.addresses[0], "zone": "domain-a", "slots": 4,
+            "state": "ready", "sequence": 1, "born": 2,
+        });
+        region.items.put("servers/i-1", &entry);
+        thread::sleep(Duration::from_millis(500));
+        for gateway in &region.gateways {
+            assert_eq!(status(gateway.addresses.http), 200);
+        }
+    }
+}
+
+#[test]
+fn a_target_that_wants_a_rest_gets_one() {
+    let region = start(1);
+    let address = region.gateways[0].addresses.http;
+    region
+        .targets
+        .iter()
+        .for_each(|target| target.set(Mode::Rest));
+    let begun = Instant::now();
+    let answer = ask(address, "/read/1", "r").expect("an answer");
+    assert_eq!(answer.status, 503);
+    let refused = || region.targets.iter().map(Instance::refused).sum::<u32>();
+    assert_eq!(refused(), 2, "each was asked once");
+    while begun.elapsed() < REST - Duration::from_millis(300) {
+        let asked = Instant::now();
+        let answer = ask(address, "/read/1", "r").expect("an answer");
+        assert_eq!(answer.status, 503);
+        assert!(
+            asked.elapsed() < Duration::from_millis(100),
+            "refused at once"
+        );
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(refused(), 2, "none was asked again");
+    region
+        .targets
+        .iter()
+        .for_each(|target| target.set(Mode::Serve));
+    thread::sleep(Duration::from_millis(400));
+    assert_eq!(status(address), 200);
+}
+
+struct Endless {
+    /// What is sent first, and what is sent again and again.
+    head: &'static str,
+    rest: &'static str,
+    path: &'static str,
+}
+
+/// Sends without end on each connection, until the other side closes it.
+fn send_endlessly(head: &'static str, rest: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let block = rest.repeat(16_384 / rest.len());
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let block = block.clone();
+            let send = move |mut stream: TcpStream| -> std::io::Result<()> {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request)?;
+                stream.write_all(head.as_bytes())?;
+                loop {
+                    stream.write_all(block.as_bytes())?;
+                }
+            };
+            // It ends when the other side has closed the connection.
+            thread::spawn(move || stream.and_then(send));
+        }
+    });
+    address
+}
+
+/// Returns the memory that this process takes, in bytes.
+fn memory() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").expect("it can be read");
+    let pages: usize = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse().ok())
+        .expect("a number");
+    pages * 4_096
+}
+
+/// The load: a target sends bytes that never become an answer. Its caller is told in time, others
+/// are served as before, and nothing grows.
+#[rstest]
+#[case::head(Endless { head: "HTTP/1.1 200 OK\r\nx: ", rest: "x", path: "/raw/1" })]
+#[case::fields(Endless { head: "HTTP/1.1 200 OK\r\n", rest: "x: y\r\n", path: "/raw/1" })]
+#[case::no_answer(Endless { head: "", rest: "x", path: "/raw/1" })]
+#[case::informational(Endless { head: "", rest: "HTTP/1.1 100 Continue\r\n\r\n", path: "/raw/1" })]
+#[case::refusal(Endless {
+    head: "HTTP/1.1 503 No\r\nnot-executed: 1\r\nrequest-id: r\r\n\r\n", rest: "x", path: "/raw/1",
+})]
+#[case::body(Endless {
+    head: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\n", rest: "x", path: "/raw/resume/1",
+})]
+#[case::event(Endless {
+    head: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\nid: 1\ndata: a\n\n", rest: "x", path: "/raw/resume/1",
+})]
+fn what_never_ends_harms_nobody_else(#[case] case: Endless) {
+    let region = start(1);
+    let address = region.gateways[0].addresses.http;
+    let target = send_endlessly(case.head, case.rest);
+    gateways::register(&region.items, "i-raw", "raw", target, "ready");
+    thread::sleep(Duration::from_millis(300));
+    let before = memory();
+    let begun = Instant::now();
+    let caller = thread::spawn(move || {
+        let answer = ask(address, case.path, "r");
+        (answer, begun.elapsed())
+    });
+    while !caller.is_finished() {
+        let asked = Instant::now();
+        assert_eq!(status(address), 200);
+        assert!(asked.elapsed() < MARGIN, "{:?}", asked.elapsed());
+        let grown = memory().saturating_sub(before);
+        assert!(grown < 48 << 20, "{grown} bytes");
+    }
+    let (answer, took) = caller.join().expect("the caller ends");
+    assert!(took < TIMEOUT + MARGIN, "{took:?}");
+    // No success, or one that is visibly broken.
+    let whole = answer.filter(|answer| answer.whole && answer.status < 300);
+    assert_eq!(whole, None);
+}
