--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -258,6 +258,7 @@
         trust_ms: None,
         policy: Default::default(),
         retries: 10,
+        memory_mb: None,
         connections: None,
     }
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -64,6 +64,9 @@
     /// The retries of each service that may be saved up.
     #[serde(default = "default_retries")]
     pub retries: u32,
+    /// The memory that the process may take, in MB; it bounds the callers' connections.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// The callers' connections beyond which each is closed after a refusal; a part of the
     /// process's descriptors where this is not set.
     #[serde(default)]
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -68,6 +68,16 @@
 /// The time that is kept at the end of a stop for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// The memory of a process without callers, in bytes: rules, targets, what is learnt of engines.
+const OWN_MEMORY: usize = 24 << 20;
+
+/// The memory of a caller's connection with a request, in bytes: hyper's buffer, a body of today's
+/// prompts, the tasks, and a part of a connection to a target.
+const CONNECTION_MEMORY: usize = 28 << 10;
+
+/// How many more than [`Door::most`] connections are taken at all: some of them are about to close.
+const FULL_PART: usize = 2;
+
 /// The part of the descriptors that callers' connections may take; the rest is for targets,
 /// and for callers that come while others are idle.
 const CALLERS_PART: f64 = 0.7;
@@ -117,12 +127,23 @@
     fn is_crowded(&self) -> bool {
         self.open.get() > self.most
     }
+
+    /// Returns whether no further caller can be borne.
+    fn is_full(&self) -> bool {
+        self.open.get() > self.most.saturating_mul(FULL_PART)
+    }
 }
 
-/// Returns the callers' connections that leave room for those to targets.
-fn most_connections() -> usize {
+/// Returns the callers' connections that leave room for those to targets, and that the memory
+/// bears.
+fn most_connections(settings: &GatewaySettings) -> usize {
     let limit = getrlimit(Resource::Nofile).current;
-    limit.map_or(usize::MAX, |limit| (limit as f64 * CALLERS_PART) as usize)
+    let files = limit.map_or(usize::MAX, |limit| (limit as f64 * CALLERS_PART) as usize);
+    let memory = settings.memory_mb.map_or(usize::MAX, |memory| {
+        let left = (memory << 20).saturating_sub(OWN_MEMORY);
+        left / CONNECTION_MEMORY / FULL_PART
+    });
+    files.min(memory)
 }
 
 /// What `redwingyard status` prints of a gateway.
@@ -149,7 +170,8 @@
         let admin = TcpListener::bind(settings.admin).await?;
         let socket = peers::bind(&settings).await?;
         let name = settings.name.clone();
-        let most = settings.connections.unwrap_or_else(most_connections);
+        let most = most_connections(&settings);
+        let most = settings.connections.unwrap_or(most);
         let process = Rc::new(Process::new(settings));
         let (store, inbox) = (process.settings.store, process.inbox.clone());
         let reader = watch::follow(store, inbox, process.clock.clone())?;
@@ -216,12 +238,20 @@
 
 async fn accept(process: Rc<Process>, door: Rc<Door>, listener: TcpListener) {
     loop {
+        while door.is_full() {
+            sleep(TICK_INTERVAL).await;
+        }
         match listener.accept().await {
             Ok(_) if door.closed.get() => return,
             Ok((stream, _)) => {
                 let process = process.clone();
                 let door = door.clone();
-                spawn(converse(process, door, stream)).detach();
+                door.open.set(door.open.get() + 1);
+                spawn(async move {
+                    converse(process, &door, stream).await;
+                    door.open.set(door.open.get() - 1);
+                })
+                .detach();
             }
             Err(err) => {
                 log::warn!("event=accept-failed error=\"{err}\"");
@@ -232,7 +262,7 @@
 }
 
 /// Serves one connection of a caller until it ends.
-async fn converse(process: Rc<Process>, door: Rc<Door>, stream: TcpStream) {
+async fn converse(process: Rc<Process>, door: &Rc<Door>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let stream = match Stream::new(stream) {
         Ok(stream) => stream,
@@ -267,14 +297,12 @@
         stops.retain(|stop| !stop.is_canceled());
         stops.push(stop);
     }
-    door.open.set(door.open.get() + 1);
     let connection = std::pin::pin!(connection);
     if let Either::Right((Ok(()), mut connection)) = select(connection, stopped).await {
         connection.as_mut().graceful_shutdown();
         // How a connection ends is the caller's to choose.
         let _ = connection.await;
     }
-    door.open.set(door.open.get() - 1);
 }
 
 fn page(process: &Process, path: &str) -> Option<admin::Page> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -238,6 +238,27 @@
     assert_eq!(closes("/nowhere"), [true, true, false, false]);
 }
 
+/// The load: more callers than the gateway can bear. Those that are in are served, and the next
+/// one gets in when another one leaves.
+#[test]
+fn callers_beyond_the_last_place_wait_outside() {
+    let net = Net::with(1, |settings| settings.connections = Some(2));
+    let address = net.0.gateways[0].addresses.http;
+    let mut inside: Vec<_> = (0..5)
+        .map(|_| TcpStream::connect(address).expect("it listens"))
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    let late = thread::spawn(move || {
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(Client::new(address).send("GET", "/read/1", &[HOST, KEY, ID], ""))
+    });
+    thread::sleep(Duration::from_millis(200));
+    assert!(!late.is_finished());
+    inside.pop();
+    let answer = late.join().expect("it ends").expect("an answer");
+    assert_eq!(answer.status, 200);
+}
+
 struct Fault {
     path: &'static str,
     method: &'static str,
