Miss targets that left while the store was away or forgot its history

Cause: since the store is watched, the feed takes in a list only when something changes. Targets that were missing after the store was away kept their place for good, as no further list came; and a lost history counted as an absence of the store, so a target that had left kept its place for two seconds more, which may be all that leaving allows. Change: the feed expires what has had its time on each tick; a watch whose history is lost is followed by a whole read at once, as no absence. Found by a test written for the second fault, which failed for the first one: 'no target is left within 5s'.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -153,6 +153,22 @@
         changes
     }
 
+    /// Takes away the targets that are still missing when they have had time to register again.
+    pub fn expire(&mut self, now: Time) -> Vec<Change> {
+        if self.grace.is_none_or(|grace| now < grace) {
+            return Vec::new();
+        }
+        self.grace = None;
+        let mut changes = Vec::new();
+        self.known.retain(|_, known| {
+            if known.lapsed {
+                changes.push(Change::Left(known.listing.name.clone()));
+            }
+            !known.lapsed
+        });
+        changes
+    }
+
     fn note(&mut self, target: Target, mut listing: Listing) -> Option<Change> {
         let name = listing.name.clone();
         let said = self.leaving.get(&target);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -43,6 +43,9 @@
 /// short enough for several tries within the time in which a configuration must be in force.
 const CALL_LIMIT: Duration = Duration::from_millis(600);
 
+/// The status of a watch that asks for changes which the store has forgotten.
+const HISTORY_LOST: u16 = 410;
+
 /// Why a call to the store failed.
 #[derive(Debug, Display, Error, From)]
 pub enum StoreError {
@@ -204,7 +207,11 @@
     async fn watch(&mut self, seen: Revision, wait: Duration) -> Result<Update, StoreError> {
         let millis = wait.as_millis();
         let path = format!("kv-watch?prefix=&after={seen}&waitMs={millis}");
-        let body = self.get(&path, wait).await?;
+        let body = match self.get(&path, wait).await {
+            // The store was there all the while, but no longer knows what has changed since.
+            Err(StoreError::Status(HISTORY_LOST)) => return self.read().await,
+            body => body?,
+        };
         let changes: Changes = serde_json::from_slice(&body)?;
         let mut update = Update::default();
         let mut changed = false;
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -27,6 +27,7 @@
 };
 use crate::{
     feed::{
+        Change,
         Feed,
         Listing, //
     },
@@ -161,7 +162,12 @@
     fn list(&self, list: Vec<Listing>, restored: bool) {
         let now = self.clock.now();
         let changes = self.feed.borrow_mut().update(now, list, restored);
-        for change in &changes {
+        self.note(&changes);
+    }
+
+    /// Logs changes of the feed and acts on them.
+    fn note(&self, changes: &[Change]) {
+        for change in changes {
             log::info!("{change}");
         }
         if !changes.is_empty() {
@@ -189,10 +195,7 @@
     pub(super) fn leave(&self, target: Target, born: u64) {
         let now = self.clock.now();
         let change = self.feed.borrow_mut().leave(now, target, born);
-        if let Some(change) = change {
-            log::info!("{change}");
-            self.reseat();
-        }
+        self.note(change.as_slice());
     }
 
     /// Returns the targets that have said lately that they leave, with their starts.
@@ -213,10 +216,7 @@
     /// Notes that another target answered at a target's address.
     pub(super) fn moved(&self, target: Target) {
         let change = self.feed.borrow_mut().moved(target);
-        if let Some(change) = change {
-            log::info!("{change}");
-            self.reseat();
-        }
+        self.note(change.as_slice());
     }
 
     /// Tells the pool which targets may get requests.
@@ -358,6 +358,8 @@
     pub(super) fn tick(&self) {
         self.sync();
         self.note_delay();
+        let lapsed = self.feed.borrow_mut().expire(self.clock.now());
+        self.note(&lapsed);
         let outs = self.pool.borrow_mut().tick(self.clock.now());
         self.perform(outs);
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -402,6 +402,40 @@
     assert_eq!(net.runs(), runs);
 }
 
+/// The store has forgotten that a target left. It was there all the while, so the target is not one
+/// whose entry may only have lapsed.
+#[test]
+fn a_target_that_left_is_missed_at_once_when_the_history_is_lost() {
+    let net = Net::start(1);
+    net.0.items.set_silent(true);
+    for name in ["servers/i-1", "servers/i-2"] {
+        net.0.items.remove(name);
+    }
+    net.0.items.compact();
+    net.0.items.set_silent(false);
+    let begun = Instant::now();
+    eventually("no target is left", || net.get("/read/1").status == 503);
+    assert!(
+        begun.elapsed() < Duration::from_millis(1_000),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
+/// Targets that are still missing two seconds after the store is back are gone, though nothing
+/// changes in the store any more.
+#[test]
+fn targets_that_left_while_the_store_was_away_are_missed() {
+    let net = Net::start(1);
+    net.0.items.set_down(true);
+    net.0.items.remove("servers/i-1");
+    net.0.items.remove("servers/i-2");
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(net.get("/read/1").status, 200);
+    net.0.items.set_down(false);
+    eventually("no target is left", || net.get("/read/1").status == 503);
+}
+
 /// Another target has taken over an address, and the store does not know it yet.
 #[test]
 fn an_address_that_is_used_again_gets_nothing_for_its_old_target() {
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -485,6 +485,36 @@
     );
 }
 
+/// The load: an account sends far more than is served. What could not be queued is refused as
+/// [`Pool::arrive`] would refuse it, and nothing of it is kept.
+#[test]
+fn a_flood_is_turned_away_without_being_taken_in() {
+    let mut pool = pool(plain_seats(1));
+    // Departures every 30 ms tell the queue's pace.
+    let mut now = Duration::ZERO;
+    let mut flying: Vec<_> = (0..4).map(|_| pool.arrive(now, ask(7)).0).collect();
+    for _ in 0..10 {
+        now += millis(30);
+        flying.push(pool.arrive(now, ask(7)).0);
+        pool.end(now, flying.remove(0), true);
+    }
+    for _ in 0..20 {
+        pool.arrive(now, ask(7));
+    }
+    let (active, waiting) = (pool.active(), pool.waiting().map(|(_, count)| count).max());
+    assert!(waiting.is_some_and(|count| count > 0));
+    let (cause, retry) = pool
+        .turn_away(now, &ask(7))
+        .expect("it would wait too long");
+    assert_eq!(cause, Refusal::Overload);
+    assert!((millis(300)..=millis(1_500)).contains(&retry), "{retry:?}");
+    assert_eq!(pool.active(), active);
+    let standings = pool.standings(now, Scope::Router);
+    assert_eq!(standings[0].refused, [7]);
+    // An account that has had nothing goes ahead of it.
+    assert_eq!(pool.turn_away(now, &ask(8)), None);
+}
+
 /// The load: all slots are taken, and the account that waits longest has had the most.
 #[test]
 fn the_account_that_has_had_the_least_is_next() {
