--- a/src/pool/order.rs
+++ b/src/pool/order.rs
@@ -17,7 +17,7 @@
 
 /// How fast the part of an engine shrinks that is open to an account with a larger lead than
 /// that, as a power of the lead.
-const CATCH_UP: f64 = 3.0;
+const CATCH_UP: f64 = 1.5;
 
 /// The part of the objective that a request waits for an engine that keeps its shared part
 /// before it goes to any other (delay scheduling, Zaharia et al., EuroSys 2010).
