--- a/tests/targets.rs
+++ b/tests/targets.rs
@@ -240,3 +240,70 @@
     let whole = answer.filter(|answer| answer.whole && answer.status < 300);
     assert_eq!(whole, None);
 }
+
+struct Doubled {
+    /// Whether the copy comes while the connection is idle, or ahead of the next answer.
+    idle: bool,
+    /// What the next caller gets.
+    status: u16,
+}
+
+/// Answers each request with its id, and sends the first answer of a connection twice.
+fn send_twice(idle: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let answer = |request: &str| {
+        let mut ids = request
+            .lines()
+            .filter_map(|line| line.strip_prefix("request-id: "));
+        let id = ids.next_back().unwrap_or("none").to_owned();
+        let length = id.len();
+        format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: {length}\r\n\r\n{id}")
+    };
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let converse = move |mut stream: TcpStream| -> std::io::Result<()> {
+                let mut copy = String::new();
+                loop {
+                    let mut request = [0; 4_096];
+                    let length = stream.read(&mut request)?;
+                    if length == 0 {
+                        return Ok(());
+                    }
+                    stream.write_all(std::mem::take(&mut copy).as_bytes())?;
+                    let text = answer(&String::from_utf8_lossy(&request[..length]));
+                    stream.write_all(text.as_bytes())?;
+                    copy = text;
+                    if idle {
+                        thread::sleep(Duration::from_millis(50));
+                        stream.write_all(std::mem::take(&mut copy).as_bytes())?;
+                    }
+                }
+            };
+            thread::spawn(move || stream.and_then(converse));
+        }
+    });
+    address
+}
+
+/// A target sends an answer a second time, late, on a connection that is used again. The next
+/// caller never gets it: it is told that its request may have run, or served over another
+/// connection.
+#[rstest]
+#[case::while_idle(Doubled { idle: true, status: 200 })]
+#[case::ahead_of_the_next(Doubled { idle: false, status: 502 })]
+fn an_answer_that_comes_twice_reaches_one_caller(#[case] case: Doubled) {
+    let region = start(1);
+    let address = region.gateways[0].addresses.http;
+    let target = send_twice(case.idle);
+    gateways::register(&region.items, "i-raw", "raw", target, "ready");
+    thread::sleep(Duration::from_millis(300));
+    let first = ask(address, "/raw/1", "r1").expect("an answer");
+    assert_eq!((first.status, &first.body[..]), (200, &b"r1"[..]));
+    thread::sleep(Duration::from_millis(150));
+    let second = ask(address, "/raw/1", "r2").expect("an answer");
+    assert_eq!(second.status, case.status);
+    if second.status == 200 {
+        assert_eq!(&second.body[..], b"r2");
+    }
+}
