--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -14,7 +14,6 @@
     Ledger,
     Output,
     Queue,
-    Refusal,
     Seat,
     Settings,
     exchange::Told,
@@ -38,12 +37,6 @@
     router::Budget, //
 };
 
-/// The shortest time that a caller is told to wait.
-const MIN_RETRY: Duration = Duration::from_millis(300);
-
-/// The part of the caller's time that it is told to wait at most; callers give up on more.
-const RETRY_PART: f64 = 0.3;
-
 /// What a plain request is charged to its account: it has no size that is known before.
 const PLAIN_WORK: u64 = 1_000;
 
@@ -87,16 +80,6 @@
     pub(super) members: BTreeSet<Target>,
 }
 
-impl Lane {
-    /// Returns the expected wait of a request of an account that joins now: those of accounts
-    /// that have had less come first.
-    fn wait(&self, now: Time, account: Account) -> Duration {
-        let usage = |account| self.ledger.usage(now, account);
-        let own = usage(account);
-        self.queue.wait(account, |other| usage(other) < own)
-    }
-}
-
 /// The decisions of one router about targets that it sends to itself.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -115,7 +98,7 @@
     /// Until when silence is no evidence against a target.
     pub(super) excused: Time,
     last: Sequence,
-    rng: fastrand::Rng,
+    pub(super) rng: fastrand::Rng,
 }
 
 impl Pool {
@@ -218,22 +201,6 @@
         (sequence, self.take())
     }
 
-    /// Refuses a request that could not be queued, without taking it in; returns why, and when to
-    /// come back.
-    ///
-    /// The load: an account asks for far more than its share, so that refusing it must cost next
-    /// to nothing.
-    pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<(Refusal, Duration)> {
-        let hold = super::place::hold(ask);
-        let work = self.work_of(ask);
-        let cause = self.turns_away(now, ask.service, ask.account, hold)?;
-        let lane = self.lane(ask.service);
-        lane.ledger.ask(now, ask.account, work);
-        lane.budget.earn();
-        lane.ledger.refuse(now, ask.account);
-        Some((cause, self.retry_time(now, ask)))
-    }
-
     /// Notes that the first byte of an answer has arrived.
     pub fn first(&mut self, now: Time, sequence: Sequence) -> Vec<Output> {
         let Some(request) = self.requests.get_mut(&sequence) else {
@@ -312,62 +279,7 @@
         lanes.map(|(service, lane)| (*service, lane.queue.len()))
     }
 
-    pub(super) fn refuse(&mut self, now: Time, sequence: Sequence, cause: Refusal) {
-        let Some(request) = self.remove(sequence) else {
-            return;
-        };
-        let ask = &request.ask;
-        let lane = self.lane(ask.service);
-        lane.ledger.refuse(now, ask.account);
-        let waiting = lane.queue.len();
-        let retry = self.retry_time(now, ask);
-        self.outs.push(Output::Refuse {
-            sequence,
-            cause,
-            retry,
-            waiting,
-        });
-    }
-
-    /// Returns why a request of an account that may wait for `hold` can't be queued.
-    fn turns_away(
-        &self,
-        now: Time,
-        service: Service,
-        account: Account,
-        hold: Duration,
-    ) -> Option<Refusal> {
-        let lane = self.lanes.get(&service);
-        let Some(lane) = lane.filter(|lane| !lane.members.is_empty()) else {
-            return Some(Refusal::NoTarget);
-        };
-        if self.rest_left(now, lane) > hold {
-            return Some(Refusal::Resting);
-        }
-        (lane.wait(now, account) > hold).then_some(Refusal::Overload)
-    }
-
-    /// Returns how long it takes until a target of a lane wants requests.
-    fn rest_left(&self, now: Time, lane: &Lane) -> Duration {
-        let members = lane.members.iter();
-        let members = members.filter_map(|target| self.members.get(target));
-        let rests = members.map(|member| member.health.resting(now));
-        rests.min().unwrap_or_default()
-    }
-
-    /// Returns when a refused caller should come back.
-    fn retry_time(&mut self, now: Time, ask: &Ask) -> Duration {
-        let lane = &self.lanes[&ask.service];
-        let wait = lane.wait(now, ask.account);
-        let expected = wait.max(self.rest_left(now, lane));
-        // Those refused together should not come back together.
-        let spread = 1.0 + self.rng.f64();
-        let wait = expected.max(MIN_RETRY).mul_f64(spread);
-        let left = ask.deadline.saturating_sub(now);
-        wait.min(left.mul_f64(RETRY_PART))
-    }
-
-    fn remove(&mut self, sequence: Sequence) -> Option<Request> {
+    pub(super) fn remove(&mut self, sequence: Sequence) -> Option<Request> {
         let request = self.requests.remove(&sequence)?;
         self.timers.remove(&(request.wake, sequence));
         if matches!(request.stage, Stage::Waiting)
@@ -423,7 +335,7 @@
         self.work_of(&self.requests[&sequence].ask)
     }
 
-    fn work_of(&self, ask: &Ask) -> u64 {
+    pub(super) fn work_of(&self, ask: &Ask) -> u64 {
         let share = self.shares.get(&ask.account).copied().unwrap_or(1);
         let work = ask
             .prompt
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -30,6 +30,7 @@
 mod pace;
 mod place;
 mod queue;
+mod refuse;
 mod retry;
 mod served;
 mod timer;
--- /dev/null
+++ b/src/pool/refuse.rs
@@ -0,0 +1,109 @@
+//! Refusing: which requests can't be served in time, and when their callers should come back.
+//!
+//! It answers the load of an account that asks for far more than its share: what could not be
+//! queued is refused at once, at next to no cost.
+
+use std::time::Duration;
+
+use super::{
+    Ask,
+    Output,
+    Pool,
+    Refusal,
+    core::Lane, //
+};
+use crate::ids::{
+    Account,
+    Sequence,
+    Service,
+    Time, //
+};
+
+/// The shortest time that a caller is told to wait.
+const MIN_RETRY: Duration = Duration::from_millis(300);
+
+/// The part of the caller's time that it is told to wait at most; callers give up on more.
+const RETRY_PART: f64 = 0.3;
+
+impl Lane {
+    /// Returns the expected wait of a request of an account that joins now: those of accounts
+    /// that have had less come first.
+    fn wait(&self, now: Time, account: Account) -> Duration {
+        let usage = |account| self.ledger.usage(now, account);
+        let own = usage(account);
+        self.queue.wait(account, |other| usage(other) < own)
+    }
+}
+
+impl Pool {
+    /// Refuses a request that could not be queued, without taking it in; returns why, and when to
+    /// come back.
+    ///
+    /// The load: an account asks for far more than its share, so that refusing it must cost next
+    /// to nothing.
+    pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<(Refusal, Duration)> {
+        let hold = super::place::hold(ask);
+        let work = self.work_of(ask);
+        let cause = self.turns_away(now, ask.service, ask.account, hold)?;
+        let lane = self.lane(ask.service);
+        lane.ledger.ask(now, ask.account, work);
+        lane.budget.earn();
+        lane.ledger.refuse(now, ask.account);
+        Some((cause, self.retry_time(now, ask)))
+    }
+
+    pub(super) fn refuse(&mut self, now: Time, sequence: Sequence, cause: Refusal) {
+        let Some(request) = self.remove(sequence) else {
+            return;
+        };
+        let ask = &request.ask;
+        let lane = self.lane(ask.service);
+        lane.ledger.refuse(now, ask.account);
+        let waiting = lane.queue.len();
+        let retry = self.retry_time(now, ask);
+        self.outs.push(Output::Refuse {
+            sequence,
+            cause,
+            retry,
+            waiting,
+        });
+    }
+
+    /// Returns why a request of an account that may wait for `hold` can't be queued.
+    pub(super) fn turns_away(
+        &self,
+        now: Time,
+        service: Service,
+        account: Account,
+        hold: Duration,
+    ) -> Option<Refusal> {
+        let lane = self.lanes.get(&service);
+        let Some(lane) = lane.filter(|lane| !lane.members.is_empty()) else {
+            return Some(Refusal::NoTarget);
+        };
+        if self.rest_left(now, lane) > hold {
+            return Some(Refusal::Resting);
+        }
+        (lane.wait(now, account) > hold).then_some(Refusal::Overload)
+    }
+
+    /// Returns how long it takes until a target of a lane wants requests.
+    fn rest_left(&self, now: Time, lane: &Lane) -> Duration {
+        let members = lane.members.iter();
+        let members = members.filter_map(|target| self.members.get(target));
+        let rests = members.map(|member| member.health.resting(now));
+        rests.min().unwrap_or_default()
+    }
+
+    /// Returns when a refused caller should come back.
+    fn retry_time(&mut self, now: Time, ask: &Ask) -> Duration {
+        let lane = &self.lanes[&ask.service];
+        let wait = lane.wait(now, ask.account);
+        let expected = wait.max(self.rest_left(now, lane));
+        // Those refused together should not come back together.
+        let spread = 1.0 + self.rng.f64();
+        let wait = expected.max(MIN_RETRY).mul_f64(spread);
+        let left = ask.deadline.saturating_sub(now);
+        wait.min(left.mul_f64(RETRY_PART))
+    }
+}
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod serve;
 mod strain;
+mod targets;
 mod watch;
 
 pub use serve::GatewayProcess;
