Take only a long absence of the store for one in which entries lapse

A single call to the store that fails counted as an absence, after which missing targets keep their place for two seconds; each further failure began that time anew. Change: entries may have lapsed only where no call has succeeded for 1.5 s. Measured: a_target_that_left_while_a_call_failed_is_missed_at_once takes 2.06 s without the change, and passes its bound of 1.5 s with it.

--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -23,6 +23,7 @@
 
 use super::inbox::Inbox;
 use crate::{
+    ids::Time,
     platform::{
         Store,
         StoreError,
@@ -37,6 +38,10 @@
 /// The pause after changes: those that come together cost one call.
 const GATHER_TIME: Duration = Duration::from_millis(150);
 
+/// The absence of the store from which on entries may have lapsed meanwhile: less than the silence
+/// of two heartbeats. After a shorter one, what is missing is gone.
+const LAPSE_TIME: Duration = Duration::from_millis(1_500);
+
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -76,6 +81,8 @@
     /// Whether the last call of the watch succeeded, if there was any.
     reading: Cell<Option<bool>>,
     doubt: Cell<Option<Doubt>>,
+    /// When the last call that succeeded was begun.
+    answered: Cell<Time>,
 }
 
 /// Follows a store on a thread of its own until the returned sender is dropped.
@@ -91,6 +98,7 @@
         clock,
         reading: Cell::new(None),
         doubt: Cell::new(None),
+        answered: Cell::new(Duration::ZERO),
     };
     let run = move || {
         let runtime = match Runtime::new() {
@@ -118,10 +126,13 @@
             };
             match read {
                 Ok(Ok(update)) => {
-                    let restored = self.reading.replace(Some(true)) == Some(false);
-                    if restored {
-                        log::info!("event=store-regained revision={}", update.revision);
+                    let lost = self.reading.replace(Some(true)) == Some(false);
+                    let away = begun.saturating_sub(self.answered.replace(begun));
+                    if lost {
+                        let (revision, away_ms) = (update.revision, away.as_millis());
+                        log::info!("event=store-regained revision={revision} away_ms={away_ms}");
                     }
+                    let restored = lost && away >= LAPSE_TIME;
                     let changed = update.rules.is_some() || update.targets.is_some();
                     let now = self.clock.now();
                     self.inbox.put(now, update, begun, restored);
@@ -187,7 +198,10 @@
             }
             let begun = self.clock.now();
             match store.newest().await {
-                Ok(newest) => self.inbox.hear(self.clock.now(), newest, begun),
+                Ok(newest) => {
+                    self.answered.set(begun);
+                    self.inbox.hear(self.clock.now(), newest, begun);
+                }
                 Err(err) => {
                     log::warn!("event=confirm-failed error=\"{err}\"");
                     self.doubt.set(Some(Doubt::Lost));
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -117,6 +117,27 @@
     );
 }
 
+/// A call to the store fails now and then; that is no absence in which entries lapse.
+#[test]
+fn a_target_that_left_while_a_call_failed_is_missed_at_once() {
+    let net = Net::start(1);
+    thread::sleep(Duration::from_millis(500));
+    net.0.items.set_silent(true);
+    net.0.items.set_down(true);
+    net.0.items.remove("servers/i-1");
+    net.0.items.remove("servers/i-2");
+    thread::sleep(Duration::from_millis(700));
+    net.0.items.set_down(false);
+    net.0.items.set_silent(false);
+    let begun = Instant::now();
+    eventually("no target is left", || net.get("/read/1").status == 503);
+    assert!(
+        begun.elapsed() < Duration::from_millis(1_500),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
 /// Targets that are still missing two seconds after the store is back are gone, though nothing
 /// changes in the store any more.
 #[test]
