Reckon a request's wait once, and read the configuration in one place

Found on reading the change once more: a request that was not turned away had its wait reckoned again when it was queued, one that was turned away twice; both walk all waiting accounts at all sources, on the path that a flood takes. The store's reader fetched and parsed the configuration's item in two places. Change: the expected wait is passed on; the shell queues what was not turned away (Pool::queue), and Pool::arrive does both for others. The decisions are the same.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -172,9 +172,7 @@
 
     /// Reads everything.
     async fn read(&mut self) -> Result<Update, StoreError> {
-        let path = format!("kv-key?key={CONFIG_KEY}");
-        let body = self.get(&path, Duration::ZERO).await?;
-        let read: Read = serde_json::from_slice(&body)?;
+        let read = self.config().await?;
         let rules = self.rules(read.item.revision, &read.item.value)?;
         self.servers.clear();
         let mut after = String::new();
@@ -248,10 +246,14 @@
     ///
     /// Fails where the store does not answer.
     pub async fn newest(&mut self) -> Result<Revision, StoreError> {
+        Ok(self.config().await?.store_revision)
+    }
+
+    /// Reads the configuration's item, with the store's revision.
+    async fn config(&mut self) -> Result<Read, StoreError> {
         let path = format!("kv-key?key={CONFIG_KEY}");
         let body = self.get(&path, Duration::ZERO).await?;
-        let read: Read = serde_json::from_slice(&body)?;
-        Ok(read.store_revision)
+        Ok(serde_json::from_slice(&body)?)
     }
 
     /// Returns the rules in a configuration, unless they are no newer than those before.
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -170,10 +170,37 @@
 
     /// Takes in a request; its number stands in all that follows.
     pub fn arrive(&mut self, now: Time, ask: Ask) -> (Sequence, Vec<Output>) {
-        self.last += 1;
-        let sequence = self.last;
+        let expected = self.expected(now, ask.service, ask.account);
+        let hold = super::place::hold(&ask);
+        match self.turns_away(ask.service, hold, expected) {
+            Some(cause) => {
+                let sequence = self.take_in(now, ask);
+                self.refuse(now, sequence, cause);
+                (sequence, self.take())
+            }
+            None => self.queue(now, ask),
+        }
+    }
+
+    /// Takes in a request that was not turned away just now, as [`Pool::arrive`] does.
+    pub fn queue(&mut self, now: Time, ask: Ask) -> (Sequence, Vec<Output>) {
         let hold = super::place::hold(&ask);
         let (service, account) = (ask.service, ask.account);
+        let sequence = self.take_in(now, ask);
+        self.lane(service).queue.push(account, sequence);
+        self.wake_at(sequence, now + hold);
+        self.pump_arrival(now, service, account);
+        (sequence, self.take())
+    }
+
+    /// Gives a request its number and counts what it asks for.
+    fn take_in(&mut self, now: Time, ask: Ask) -> Sequence {
+        self.last += 1;
+        let sequence = self.last;
+        let work = self.work_of(&ask);
+        let lane = self.lane(ask.service);
+        lane.ledger.ask(now, ask.account, work);
+        lane.budget.earn();
         let request = Request {
             ask,
             arrived: now,
@@ -186,19 +213,7 @@
             wake: Duration::ZERO,
         };
         self.requests.insert(sequence, request);
-        let work = self.work(sequence);
-        let turned = self.turns_away(now, service, account, hold);
-        let lane = self.lane(service);
-        lane.ledger.ask(now, account, work);
-        lane.budget.earn();
-        if let Some(cause) = turned {
-            self.refuse(now, sequence, cause);
-        } else {
-            lane.queue.push(account, sequence);
-            self.wake_at(sequence, now + hold);
-            self.pump_arrival(now, service, account);
-        }
-        (sequence, self.take())
+        sequence
     }
 
     /// Notes that the first byte of an answer has arrived.
--- a/src/pool/refuse.rs
+++ b/src/pool/refuse.rs
@@ -25,6 +25,15 @@
 /// The part of the caller's time that it is told to wait at most; callers give up on more.
 const RETRY_PART: f64 = 0.3;
 
+/// How long a request would wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Expected {
+    /// The time behind others in the queue.
+    wait: Duration,
+    /// The time until a target wants requests.
+    rest: Duration,
+}
+
 impl Lane {
     /// Returns the expected wait of a request of an account that joins now: those of accounts
     /// that have had less come first.
@@ -44,12 +53,13 @@
     pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<(Refusal, Duration)> {
         let hold = super::place::hold(ask);
         let work = self.work_of(ask);
-        let cause = self.turns_away(now, ask.service, ask.account, hold)?;
+        let expected = self.expected(now, ask.service, ask.account);
+        let cause = self.turns_away(ask.service, hold, expected)?;
         let lane = self.lane(ask.service);
         lane.ledger.ask(now, ask.account, work);
         lane.budget.earn();
         lane.ledger.refuse(now, ask.account);
-        Some((cause, self.retry_time(now, ask)))
+        Some((cause, self.retry_time(now, ask, expected)))
     }
 
     pub(super) fn refuse(&mut self, now: Time, sequence: Sequence, cause: Refusal) {
@@ -60,7 +70,8 @@
         let lane = self.lane(ask.service);
         lane.ledger.refuse(now, ask.account);
         let waiting = lane.queue.len();
-        let retry = self.retry_time(now, ask);
+        let expected = self.expected(now, ask.service, ask.account);
+        let retry = self.retry_time(now, ask, expected);
         self.outs.push(Output::Refuse {
             sequence,
             cause,
@@ -69,22 +80,30 @@
         });
     }
 
-    /// Returns why a request of an account that may wait for `hold` can't be queued.
+    /// Returns how long a request of an account that joins now would wait.
+    pub(super) fn expected(&self, now: Time, service: Service, account: Account) -> Expected {
+        let lane = self.lanes.get(&service);
+        lane.map_or_else(Expected::default, |lane| Expected {
+            wait: lane.wait(now, account),
+            rest: self.rest_left(now, lane),
+        })
+    }
+
+    /// Returns why a request that may wait for `hold` can't be queued.
     pub(super) fn turns_away(
         &self,
-        now: Time,
         service: Service,
-        account: Account,
         hold: Duration,
+        expected: Expected,
     ) -> Option<Refusal> {
         let lane = self.lanes.get(&service);
-        let Some(lane) = lane.filter(|lane| !lane.members.is_empty()) else {
+        if lane.is_none_or(|lane| lane.members.is_empty()) {
             return Some(Refusal::NoTarget);
-        };
-        if self.rest_left(now, lane) > hold {
+        }
+        if expected.rest > hold {
             return Some(Refusal::Resting);
         }
-        (lane.wait(now, account) > hold).then_some(Refusal::Overload)
+        (expected.wait > hold).then_some(Refusal::Overload)
     }
 
     /// Returns how long it takes until a target of a lane wants requests.
@@ -96,13 +115,11 @@
     }
 
     /// Returns when a refused caller should come back.
-    fn retry_time(&mut self, now: Time, ask: &Ask) -> Duration {
-        let lane = &self.lanes[&ask.service];
-        let wait = lane.wait(now, ask.account);
-        let expected = wait.max(self.rest_left(now, lane));
+    fn retry_time(&mut self, now: Time, ask: &Ask, expected: Expected) -> Duration {
         // Those refused together should not come back together.
         let spread = 1.0 + self.rng.f64();
-        let wait = expected.max(MIN_RETRY).mul_f64(spread);
+        let wait = expected.wait.max(expected.rest);
+        let wait = wait.max(MIN_RETRY).mul_f64(spread);
         let left = ask.deadline.saturating_sub(now);
         wait.min(left.mul_f64(RETRY_PART))
     }
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -92,7 +92,7 @@
     times: RefCell<Sent>,
     rng: RefCell<fastrand::Rng>,
     sent: Cell<u64>,
-    seeded: Cell<Time>,
+    asked: Cell<Time>,
     failing: Cell<bool>,
 }
 
@@ -108,7 +108,7 @@
             times: RefCell::default(),
             rng: RefCell::default(),
             sent: Cell::new(0),
-            seeded: Cell::new(Duration::ZERO),
+            asked: Cell::new(Duration::ZERO),
             failing: Cell::new(false),
         }
     }
@@ -201,10 +201,10 @@
             true => START_INTERVAL,
             false => ASK_INTERVAL,
         };
-        if now < self.seeded.get() + interval && self.sent.get() > 0 {
+        if now < self.asked.get() + interval && self.sent.get() > 0 {
             return Vec::new();
         }
-        self.seeded.set(now);
+        self.asked.set(now);
         self.mesh.borrow().contacts(&mut self.rng.borrow_mut())
     }
 }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -218,11 +218,12 @@
         Some(turned)
     }
 
-    /// Takes a request in and returns where the decisions about it arrive.
+    /// Takes in a request that was not turned away, and returns where the decisions about it
+    /// arrive.
     pub(super) fn arrive(&self, ask: Ask) -> (Sequence, UnboundedReceiver<Order>) {
         let (sender, receiver) = unbounded();
-        let arrived = self.pool.borrow_mut().arrive(self.clock.now(), ask);
-        let (sequence, outs) = arrived;
+        let queued = self.pool.borrow_mut().queue(self.clock.now(), ask);
+        let (sequence, outs) = queued;
         self.orders.borrow_mut().insert(sequence, sender);
         self.perform(outs);
         (sequence, receiver)
