Measure the memory of a gateway, and say when it runs short

Cause: the incident's hypotheses could not be told apart. A process that the system ends beyond its memory leaves no line, and neither a gauge nor a line said how much it had taken or for how many callers. Change: each 200 ms the process reads what it takes (redwingyard_memory_bytes, redwingyard_connections); from 0.9 of memory_mb on event=memory-short says what is taken, for how many connections and requests, and event=memory-eased when that is over. The bound on callers' connections moves to pool::Memory unchanged. Ruled out: an allocator's own figures; they leave out code and pages that were freed and are still counted.

--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -25,6 +25,7 @@
 mod fair;
 mod health;
 mod member;
+mod memory;
 mod model;
 mod order;
 mod pace;
@@ -46,6 +47,7 @@
 pub use fair::Ledger;
 pub use health::Health;
 pub use member::Load;
+pub use memory::Memory;
 pub use model::{
     Fault,
     Output,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -30,6 +30,8 @@
     pub(super) generation: IntGauge,
     pub(super) rules_age: IntGauge,
     pub(super) delay: IntGauge,
+    pub(super) memory: IntGauge,
+    pub(super) connections: IntGauge,
 }
 
 impl Metrics {
@@ -85,6 +87,14 @@
                 "redwingyard_delay_ms",
                 "Milliseconds by which the last timer of this process was late.",
             ),
+            memory: gauge(
+                "redwingyard_memory_bytes",
+                "Memory that the process takes, as the system counts it.",
+            ),
+            connections: gauge(
+                "redwingyard_connections",
+                "Connections of callers that are open.",
+            ),
             registry,
         }
     }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -21,6 +21,7 @@
 use super::{
     inbox::Inbox,
     log::Line,
+    memory::resident,
     metrics::Metrics,
     peers::Peers,
     strain::Strain, //
@@ -37,6 +38,7 @@
     pool::{
         Ask,
         Fault,
+        Memory,
         Output,
         Pool,
         Refusal,
@@ -69,6 +71,10 @@
 /// The delay of a tick from which on this process is late: a part of the shortest objective.
 const LATE: Duration = Duration::from_millis(60);
 
+/// The interval at which the process's memory is measured: a part of the second or so in which a
+/// crowd of callers arrives.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// What confirmed rules may be younger than the limit for keys: the time in which a request
 /// may have been on its way, and what the platform's clock may differ.
 const TRUST_MARGIN: Duration = Duration::from_millis(400);
@@ -102,6 +108,8 @@
     stopping: Cell<Option<Time>>,
     ticked: Cell<Time>,
     strain: RefCell<Strain>,
+    pub(super) memory: Memory,
+    measured: Cell<Time>,
 }
 
 impl Process {
@@ -126,6 +134,8 @@
             stopping: Cell::new(None),
             ticked: Cell::new(Duration::ZERO),
             strain: RefCell::default(),
+            memory: Memory::new(settings.memory_mb.map(|limit| limit << 20)),
+            measured: Cell::new(Duration::ZERO),
             settings,
         }
     }
@@ -262,6 +272,7 @@
     pub(super) fn tick(&self) {
         self.sync();
         self.note_delay();
+        self.note_memory();
         let lapsed = self.feed.borrow_mut().expire(self.clock.now());
         self.note(&lapsed);
         let outs = self.pool.borrow_mut().tick(self.clock.now());
@@ -287,6 +298,33 @@
         }
     }
 
+    /// Notes how much memory this process takes.
+    fn note_memory(&self) {
+        let now = self.clock.now();
+        if now < self.measured.get() + MEASURE_INTERVAL {
+            return;
+        }
+        self.measured.set(now);
+        let taken = match resident() {
+            Ok(taken) => taken,
+            Err(err) => return log::debug!("event=memory-unknown error=\"{err}\""),
+        };
+        self.metrics.memory.set(taken as i64);
+        let Some(short) = self.memory.measure(taken) else {
+            return;
+        };
+        let line = format!(
+            "taken_kb={} connections={} requests={}",
+            taken >> 10,
+            self.memory.connections(),
+            self.pool.borrow().active(),
+        );
+        match short {
+            true => log::warn!("event=memory-short {line}"),
+            false => log::info!("event=memory-eased {line}"),
+        }
+    }
+
     pub(super) fn perform(&self, outs: Vec<Output>) {
         for out in outs {
             log::info!("{}", Line::of(&out));
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -52,6 +52,7 @@
     watch, //
 };
 use crate::{
+    pool::Memory,
     rules::Limit,
     settings::GatewaySettings,
     shell::{
@@ -68,13 +69,6 @@
 /// The time that is kept at the end of a stop for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
-/// The memory of a process without callers, in bytes: rules, targets, what is learnt of engines.
-const OWN_MEMORY: usize = 24 << 20;
-
-/// The memory of a caller's connection with a request, in bytes: hyper's buffer, a body of today's
-/// prompts, the tasks, and a part of a connection to a target.
-const CONNECTION_MEMORY: usize = 28 << 10;
-
 /// How many more than [`Door::most`] connections are taken at all: some of them are about to close.
 const FULL_PART: usize = 2;
 
@@ -106,7 +100,8 @@
 
 /// The callers' connections.
 struct Door {
-    open: Cell<usize>,
+    /// Counts the connections that are open.
+    memory: Memory,
     /// The connections beyond which each is closed after a refusal.
     most: usize,
     closed: Cell<bool>,
@@ -114,9 +109,9 @@
 }
 
 impl Door {
-    fn new(most: usize) -> Self {
+    fn new(most: usize, memory: Memory) -> Self {
         Self {
-            open: Cell::new(0),
+            memory,
             most,
             closed: Cell::new(false),
             stops: RefCell::default(),
@@ -125,25 +120,21 @@
 
     /// Returns whether idle connections would keep new callers out.
     fn is_crowded(&self) -> bool {
-        self.open.get() > self.most
+        self.memory.connections() > self.most
     }
 
     /// Returns whether no further caller can be borne.
     fn is_full(&self) -> bool {
-        self.open.get() > self.most.saturating_mul(FULL_PART)
+        self.memory.connections() > self.most.saturating_mul(FULL_PART)
     }
 }
 
 /// Returns the callers' connections that leave room for those to targets, and that the memory
 /// bears.
-fn most_connections(settings: &GatewaySettings) -> usize {
+fn most_connections(memory: &Memory) -> usize {
     let limit = getrlimit(Resource::Nofile).current;
     let files = limit.map_or(usize::MAX, |limit| (limit as f64 * CALLERS_PART) as usize);
-    let memory = settings.memory_mb.map_or(usize::MAX, |memory| {
-        let left = (memory << 20).saturating_sub(OWN_MEMORY);
-        left / CONNECTION_MEMORY / FULL_PART
-    });
-    files.min(memory)
+    files.min(memory.most_connections() / FULL_PART)
 }
 
 /// What `redwingyard status` prints of a gateway.
@@ -170,12 +161,12 @@
         let admin = TcpListener::bind(settings.admin).await?;
         let socket = peers::bind(&settings).await?;
         let name = settings.name.clone();
-        let most = most_connections(&settings);
-        let most = settings.connections.unwrap_or(most);
         let process = Rc::new(Process::new(settings));
+        let most = process.settings.connections;
+        let most = most.unwrap_or_else(|| most_connections(&process.memory));
         let (store, inbox) = (process.settings.store, process.inbox.clone());
         let reader = watch::follow(store, inbox, process.clock.clone())?;
-        let door = Rc::new(Door::new(most));
+        let door = Rc::new(Door::new(most, process.memory.clone()));
         let running = Self {
             http: listener.local_addr()?,
             admin: admin.local_addr()?,
@@ -209,7 +200,7 @@
         let requests = self.process.pool.borrow().active();
         log::info!(
             "event=stopping requests={requests} connections={}",
-            self.door.open.get()
+            self.door.memory.connections()
         );
         for stop in self.door.stops.borrow_mut().drain(..) {
             // A connection that has closed already needs no word.
@@ -220,10 +211,10 @@
             sleep(TICK_INTERVAL).await;
         }
         self.door.closed.set(true);
-        while self.door.open.get() > 0 && passed() < limit {
+        while self.door.memory.connections() > 0 && passed() < limit {
             sleep(TICK_INTERVAL).await;
         }
-        let left = self.door.open.get();
+        let left = self.door.memory.connections();
         log::info!("event=stop connections={left}");
         left == 0
     }
@@ -246,10 +237,10 @@
             Ok((stream, _)) => {
                 let process = process.clone();
                 let door = door.clone();
-                door.open.set(door.open.get() + 1);
+                door.memory.open();
                 spawn(async move {
                     converse(process, &door, stream).await;
-                    door.open.set(door.open.get() - 1);
+                    door.memory.close();
                 })
                 .detach();
             }
@@ -335,6 +326,8 @@
 
 fn metrics(process: &Process) -> Vec<u8> {
     let metrics = &process.metrics;
+    let connections = process.memory.connections();
+    metrics.connections.set(connections as i64);
     metrics.active.set(process.pool.borrow().active() as i64);
     metrics.generation.set(process.rules().generation() as i64);
     let age = process.age().map_or(-1, |age| age.as_millis() as i64);
