Refuse what a gateway has no memory for before taking it in

Callers saw: connections that closed without an answer, though their request had been read and run. The class of the fault is a bound on one resource where another runs out first, and it still acted: a body may have 4 MB and was read whole whatever memory was left, and answers are held up to 256 KB each. Change: bodies and held answers are promised room before they are taken in (pool::Memory). A body without room is refused as not run, with a time to come back, and read on for a moment without being kept, so that its sender reads the answer; an answer without room is passed on as it arrives. No connection is taken without room, and a process that measures that it takes 0.9 of its memory closes connections after refusals. Ruled out: a bound by the measured figure alone, as freed memory is not given back at once, and a process could refuse for good.

--- a/src/pool/memory.rs
+++ b/src/pool/memory.rs
@@ -1,4 +1,8 @@
-//! The memory that a process takes, and what it may take.
+//! How much a process may hold in memory for its callers.
+//!
+//! It answers callers who send more than the VM has memory for. A process that takes in all that
+//! arrives is killed by the system, and each of its callers loses an answer; one that counts what
+//! it has promised room to refuses the rest while that can still be said.
 
 use std::sync::{
     Arc,
@@ -15,19 +19,26 @@
 /// prompts, the tasks, and a part of a connection to a target.
 const CONNECTION_MEMORY: usize = 28 << 10;
 
+/// The connections that always have room, so that a process which was given too little memory
+/// serves a few callers nevertheless.
+const LEAST_CONNECTIONS: usize = 64;
+
+/// The bytes of a body that [`CONNECTION_MEMORY`] counts already.
+const COUNTED_BODY: usize = 8 << 10;
+
 /// The part of the limit beyond which a process that measures itself is short of memory. The rest
 /// is for what has arrived and lies unread.
 const SHORT_PART: f64 = 0.9;
 
-/// The memory that a process takes, and what it may take.
+/// What a process holds in memory for its callers, and how much it may hold.
 ///
 /// ```
 /// use redwingyard::pool::Memory;
-/// let memory = Memory::new(Some(88 << 20));
-/// assert_eq!(memory.measure(60 << 20), None);
-/// assert_eq!(memory.measure(80 << 20), Some(true));
-/// assert_eq!(memory.measure(81 << 20), None);
-/// assert_eq!(memory.measure(60 << 20), Some(false));
+/// let memory = Memory::new(Some(32 << 20));
+/// let body = memory.hold(6 << 20).expect("there is room");
+/// assert!(memory.hold(6 << 20).is_none());
+/// drop(body);
+/// assert!(memory.hold(6 << 20).is_some());
 /// ```
 #[derive(Clone, Debug)]
 pub struct Memory(Arc<State>);
@@ -37,6 +48,8 @@
     /// The memory that the process may take, in bytes.
     limit: usize,
     connections: AtomicUsize,
+    /// The bytes of bodies and answers that are promised room.
+    held: AtomicUsize,
     /// What the process was last seen to take, in bytes.
     resident: AtomicUsize,
 }
@@ -47,6 +60,7 @@
         Self(Arc::new(State {
             limit: limit.unwrap_or(usize::MAX),
             connections: AtomicUsize::new(0),
+            held: AtomicUsize::new(0),
             resident: AtomicUsize::new(0),
         }))
     }
@@ -71,9 +85,37 @@
         self.0.connections.load(Ordering::Relaxed)
     }
 
+    /// Returns the bytes that are promised room, beside those of connections.
+    pub fn held(&self) -> usize {
+        self.0.held.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a further connection has room.
+    pub fn has_room(&self) -> bool {
+        self.connections() < LEAST_CONNECTIONS || self.left() >= CONNECTION_MEMORY
+    }
+
+    /// Promises room to a body or an answer; `None` where there is none.
+    pub fn hold(&self, bytes: usize) -> Option<Holding> {
+        let mut holding = Holding {
+            memory: self.clone(),
+            bytes: 0,
+            counted: 0,
+        };
+        holding.reach(bytes).then_some(holding)
+    }
+
     /// Notes what the process takes, as the system counts it.
     ///
     /// Returns whether it is short of memory where that changes.
+    ///
+    /// ```
+    /// use redwingyard::pool::Memory;
+    /// let memory = Memory::new(Some(88 << 20));
+    /// assert_eq!(memory.measure(60 << 20), None);
+    /// assert_eq!(memory.measure(80 << 20), Some(true));
+    /// assert_eq!(memory.measure(60 << 20), Some(false));
+    /// ```
     pub fn measure(&self, resident: usize) -> Option<bool> {
         let was = self.is_short();
         self.0.resident.store(resident, Ordering::Relaxed);
@@ -90,4 +132,45 @@
     pub fn is_short(&self) -> bool {
         self.resident() as f64 > self.0.limit as f64 * SHORT_PART
     }
+
+    fn left(&self) -> usize {
+        let connections = self.connections().saturating_mul(CONNECTION_MEMORY);
+        let taken = OWN_MEMORY + connections + self.held();
+        self.0.limit.saturating_sub(taken)
+    }
+}
+
+/// Room that is promised to a body or an answer, until this is dropped.
+#[derive(Debug)]
+pub struct Holding {
+    memory: Memory,
+    /// The size that it was promised for.
+    bytes: usize,
+    /// What of it is counted as held.
+    counted: usize,
+}
+
+impl Holding {
+    /// Extends the promise to a size; returns `false`, and changes nothing, where there is no room.
+    pub fn reach(&mut self, bytes: usize) -> bool {
+        if bytes <= self.bytes {
+            return true;
+        }
+        let counted = bytes.saturating_sub(COUNTED_BODY);
+        let more = counted - self.counted;
+        if more > self.memory.left() {
+            return false;
+        }
+        self.memory.0.held.fetch_add(more, Ordering::Relaxed);
+        self.bytes = bytes;
+        self.counted = counted;
+        true
+    }
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        let held = &self.memory.0.held;
+        held.fetch_sub(self.counted, Ordering::Relaxed);
+    }
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -47,7 +47,10 @@
 pub use fair::Ledger;
 pub use health::Health;
 pub use member::Load;
-pub use memory::Memory;
+pub use memory::{
+    Holding,
+    Memory, //
+};
 pub use model::{
     Fault,
     Output,
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -34,6 +34,7 @@
 
 use super::{
     call::Call,
+    memory::hold,
     process::Order, //
 };
 use crate::{
@@ -148,6 +149,8 @@
         connections: Rc<Connections>,
     ) -> Tried {
         let mut data = BytesMut::new();
+        // What there is no room for is passed on as it arrives.
+        let mut holding = self.process.memory.hold(0);
         let ended = loop {
             let frame = std::pin::pin!(body.frame());
             let frame = match race(frame, &mut self.orders).await {
@@ -163,7 +166,8 @@
                     }
                 }
             }
-            if self.ask.stream && !data.is_empty() || data.len() > MAX_HELD {
+            let kept = holding.as_mut().is_some_and(|held| held.reach(data.len()));
+            if self.ask.stream && !data.is_empty() || data.len() > MAX_HELD || !kept {
                 break false;
             }
         };
@@ -175,7 +179,10 @@
         };
         Tried::Answered(Box::new(Answer {
             head,
-            data: data.freeze(),
+            data: match holding {
+                Some(holding) => hold(data.freeze(), holding),
+                None => data.freeze(),
+            },
             rest,
             sender,
             connections,
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -1,12 +1,16 @@
 //! The callers' interface of a gateway: from a request's head to what the pool decides on.
 
 use std::{
+    error::Error,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use compio::time::timeout;
 use http_body_util::{
     BodyExt,
@@ -30,8 +34,12 @@
         Call,
         CallerAsk, //
     },
+    memory::hold,
     process::Process,
-    refusal::refusal, //
+    refusal::{
+        FAULT_RETRY,
+        refusal, //
+    }, //
 };
 use crate::{
     platform::{
@@ -40,6 +48,7 @@
     },
     pool::{
         Ask,
+        Memory,
         Refusal, //
     },
     rules::{
@@ -61,6 +70,9 @@
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
+/// The time for which the rest of a body is read that is not kept: some round trips.
+const DISCARD_LIMIT: Duration = Duration::from_millis(500);
+
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
@@ -95,7 +107,14 @@
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
     let most = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY);
-    let body = collect(body, most, deadline.saturating_sub(arrived)).await?;
+    let body = collect(
+        process,
+        &envelope,
+        body,
+        most,
+        deadline.saturating_sub(arrived),
+    )
+    .await?;
     let ask = Ask {
         account: account.as_deref().map_or(0, crate::ids::id),
         service: route.service(fastrand::u64(..)),
@@ -165,19 +184,39 @@
     }
 }
 
-async fn collect(body: Incoming, most: u64, limit: Duration) -> Result<Bytes, Rejection> {
+/// Why a body was not taken in.
+enum Untaken {
+    /// It broke off, or is larger than the rules allow.
+    Failed(Box<dyn Error + Send + Sync>),
+    /// There is no memory for it.
+    NoRoom,
+}
+
+/// Reads a body whole.
+async fn collect(
+    process: &Process,
+    envelope: &Envelope,
+    body: Incoming,
+    most: u64,
+    limit: Duration,
+) -> Result<Bytes, Rejection> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let limited = Limited::new(body, usize::try_from(most).unwrap_or(usize::MAX));
-    match timeout(limit, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    let mut body = Limited::new(body, most);
+    match timeout(limit, take(&process.memory, &mut body)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(Untaken::NoRoom)) => {
+            discard(body, limit).await;
+            Err(unroomed(process, envelope))
+        }
+        Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => {
             let detail = "the body is larger than the rules allow";
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(reject(status, "body-too-large", detail))
         }
-        Ok(Err(_)) => {
+        Ok(Err(Untaken::Failed(_))) => {
             let detail = "the body broke off";
             Err(reject(StatusCode::BAD_REQUEST, "bad-body", detail))
         }
@@ -188,6 +227,43 @@
     }
 }
 
+/// Reads a body whole where there is memory for it, known from its length if it has one.
+async fn take(memory: &Memory, body: &mut Limited<Incoming>) -> Result<Bytes, Untaken> {
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
+            continue;
+        };
+        if !holding.reach(whole.len() + data.len()) {
+            return Err(Untaken::NoRoom);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(hold(whole.freeze(), holding))
+}
+
+/// Reads the rest of a body without keeping it, so that its sender gets to read the answer.
+async fn discard(mut body: Limited<Incoming>, limit: Duration) {
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A sender that is slower than that may miss the answer.
+    let _ = timeout(DISCARD_LIMIT.min(limit), rest).await;
+}
+
+/// Refuses a request for whose body there is no memory.
+#[cold]
+fn unroomed(process: &Process, envelope: &Envelope) -> Rejection {
+    log::info!(
+        "event=reject request={} cause=no-memory held_kb={} connections={}",
+        envelope.id,
+        process.memory.held() >> 10,
+        process.memory.connections(),
+    );
+    process.metrics.outcome("no-memory");
+    Box::new(refusal(Refusal::Overload, FAULT_RETRY))
+}
+
 /// Refuses a request while this gateway does not know enough to decide on it.
 #[cold]
 fn unready(process: &Process, envelope: &Envelope, cause: &str) -> Rejection {
--- a/src/shell/gateway/memory.rs
+++ b/src/shell/gateway/memory.rs
@@ -1,12 +1,15 @@
-//! What the system says of this process's memory.
+//! The memory of this process: what the system says of it, and bytes that have been promised room.
 
 use std::{
     fs,
     io, //
 };
 
+use bytes::Bytes;
 use rustix::param::page_size;
 
+use crate::pool::Holding;
+
 /// Where the system says how many pages this process has: all of them, and those in memory.
 const PAGES: &str = "/proc/self/statm";
 
@@ -18,3 +21,21 @@
     let pages = pages.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, PAGES))?;
     Ok(pages * page_size())
 }
+
+/// Bytes with the room that they were promised.
+struct Held {
+    bytes: Bytes,
+    _holding: Holding,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns bytes that give their room back when the last copy of them is dropped.
+pub(super) fn hold(bytes: Bytes, holding: Holding) -> Bytes {
+    let _holding = holding;
+    Bytes::from_owner(Held { bytes, _holding })
+}
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -31,6 +31,7 @@
     pub(super) rules_age: IntGauge,
     pub(super) delay: IntGauge,
     pub(super) memory: IntGauge,
+    pub(super) held: IntGauge,
     pub(super) connections: IntGauge,
 }
 
@@ -91,6 +92,10 @@
                 "redwingyard_memory_bytes",
                 "Memory that the process takes, as the system counts it.",
             ),
+            held: gauge(
+                "redwingyard_held_bytes",
+                "Bytes of bodies and answers that are promised room.",
+            ),
             connections: gauge(
                 "redwingyard_connections",
                 "Connections of callers that are open.",
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -120,12 +120,13 @@
 
     /// Returns whether idle connections would keep new callers out.
     fn is_crowded(&self) -> bool {
-        self.memory.connections() > self.most
+        self.memory.connections() > self.most || self.memory.is_short()
     }
 
     /// Returns whether no further caller can be borne.
     fn is_full(&self) -> bool {
-        self.memory.connections() > self.most.saturating_mul(FULL_PART)
+        let connections = self.memory.connections();
+        connections > self.most.saturating_mul(FULL_PART) || !self.memory.has_room()
     }
 }
 
@@ -328,6 +329,7 @@
     let metrics = &process.metrics;
     let connections = process.memory.connections();
     metrics.connections.set(connections as i64);
+    metrics.held.set(process.memory.held() as i64);
     metrics.active.set(process.pool.borrow().active() as i64);
     metrics.generation.set(process.rules().generation() as i64);
     let age = process.age().map_or(-1, |age| age.as_millis() as i64);
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -9,6 +9,8 @@
         "rules",
         "strained",
         "unstrained",
+        "memory-short",
+        "memory-eased",
     ];
     let groups = ["store-", "peer-", "target-", "watch-"];
     beliefs.contains(&event) || groups.iter().any(|group| event.starts_with(group))
@@ -42,6 +44,8 @@
         "watch-doubted" => "(the watch of the store was given up)",
         "strained" => "(the process fell behind and sent callers elsewhere)",
         "unstrained" => "(the process caught up)",
+        "memory-short" => "(the process took nearly all of its memory)",
+        "memory-eased" => "(the process had memory again)",
         "peer-joined" => "(a gateway joined)",
         "peer-left" => "(a gateway left)",
         "peer-lost" => "(a gateway fell silent)",
