--- a/src/pool/memory.rs
+++ b/src/pool/memory.rs
@@ -92,7 +92,8 @@
 
     /// Returns whether a further connection has room.
     pub fn has_room(&self) -> bool {
-        self.connections() < LEAST_CONNECTIONS || self.left() >= CONNECTION_MEMORY
+        let few = self.connections() < LEAST_CONNECTIONS;
+        few || !self.is_short() && self.left() >= CONNECTION_MEMORY
     }
 
     /// Promises room to a body or an answer; `None` where there is none.
@@ -152,13 +153,18 @@
 
 impl Holding {
     /// Extends the promise to a size; returns `false`, and changes nothing, where there is no room.
+    ///
+    /// A process that is short of memory by its own measure keeps one promise at a time, since
+    /// what it has freed may be counted as taken for long.
     pub fn reach(&mut self, bytes: usize) -> bool {
         if bytes <= self.bytes {
             return true;
         }
         let counted = bytes.saturating_sub(COUNTED_BODY);
         let more = counted - self.counted;
-        if more > self.memory.left() {
+        let others = self.memory.held() - self.counted;
+        let short = more > 0 && others > 0 && self.memory.is_short();
+        if short || more > self.memory.left() {
             return false;
         }
         self.memory.0.held.fetch_add(more, Ordering::Relaxed);
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -70,6 +70,9 @@
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
+/// How many times its size a buffer may take while it grows, since it is copied then.
+const GROWTH: usize = 2;
+
 /// The time for which the rest of a body is read that is not kept: some round trips.
 const DISCARD_LIMIT: Duration = Duration::from_millis(500);
 
@@ -231,12 +234,13 @@
 async fn take(memory: &Memory, body: &mut Limited<Incoming>) -> Result<Bytes, Untaken> {
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
-    let mut whole = BytesMut::new();
+    let mut whole = BytesMut::with_capacity(expected.min(MAX_BODY as usize));
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
             continue;
         };
-        if !holding.reach(whole.len() + data.len()) {
+        let size = whole.len() + data.len();
+        if size > expected && !holding.reach(size * GROWTH) {
             return Err(Untaken::NoRoom);
         }
         whole.extend_from_slice(&data);
