Say that a gateway is not ready while it takes no callers

Callers saw: a gateway that has as many connections as it can bear said that it was ready, so the platform went on sending callers to it, who waited in its listen queue until they gave up. Change: readiness says no while no further caller is taken. Test: callers_beyond_the_last_place_wait_outside, which now also asks for readiness, failed before with 'assertion failed: !is_ready()'.

--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -106,6 +106,8 @@
     dials: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     pub(super) inbox: Arc<Inbox>,
     stopping: Cell<Option<Time>>,
+    /// Whether no further caller is taken.
+    pub(super) full: Cell<bool>,
     ticked: Cell<Time>,
     strain: RefCell<Strain>,
     pub(super) memory: Memory,
@@ -132,6 +134,7 @@
             dials: RefCell::default(),
             inbox: Arc::default(),
             stopping: Cell::new(None),
+            full: Cell::new(false),
             ticked: Cell::new(Duration::ZERO),
             strain: RefCell::default(),
             memory: Memory::new(settings.memory_mb.map(|limit| limit << 20)),
@@ -210,7 +213,8 @@
     pub(super) fn is_ready(&self) -> bool {
         let serving = self.feed.borrow().serving().next().is_some();
         let knows = self.rules().generation() > 0 && serving && self.is_trusted();
-        knows && !self.strain.borrow().is_strained() && !self.is_stopping()
+        let takes = !self.full.get() && !self.is_stopping();
+        knows && takes && !self.strain.borrow().is_strained()
     }
 
     pub(super) fn stop(&self) {
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -231,8 +231,10 @@
 async fn accept(process: Rc<Process>, door: Rc<Door>, listener: TcpListener) {
     loop {
         while door.is_full() {
+            process.full.set(true);
             sleep(TICK_INTERVAL).await;
         }
+        process.full.set(false);
         match listener.accept().await {
             Ok(_) if door.closed.get() => return,
             Ok((stream, _)) => {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -144,11 +144,17 @@
 }
 
 /// The load: more callers than the gateway can bear. Those that are in are served, and the next
-/// one gets in when another one leaves.
+/// one gets in when another one leaves; until then the platform is told to send callers elsewhere.
 #[test]
 fn callers_beyond_the_last_place_wait_outside() {
     let net = Net::with(1, |settings| settings.connections = Some(2));
     let address = net.0.gateways[0].addresses.http;
+    let is_ready = || {
+        let runtime = Runtime::new().expect("a runtime");
+        let admin = net.0.gateways[0].addresses.admin;
+        let answer = runtime.block_on(Client::new(admin).send("GET", "/readyz", &[], ""));
+        answer.expect("the page answers").status == 200
+    };
     let mut inside: Vec<_> = (0..5)
         .map(|_| TcpStream::connect(address).expect("it listens"))
         .collect();
@@ -159,9 +165,12 @@
     });
     thread::sleep(Duration::from_millis(200));
     assert!(!late.is_finished());
+    assert!(!is_ready());
     inside.pop();
     let answer = late.join().expect("it ends").expect("an answer");
     assert_eq!(answer.status, 200);
+    drop(inside);
+    eventually("it takes callers again", is_ready);
 }
 
 struct Fault {
