Guard answers against a late loop and changes of the configuration

A gateway whose loop is blocked for 600 ms while its idle limit passes, or while it is told to stop, answers what lies unread then: a connection reads its socket before it looks at its timer or at the stop. A route, a key, a time-out, a service or all targets that go while an answer is on its way end none.

The stand-in can now stall a process, also while it drains.

--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -9,7 +9,10 @@
     time::Duration, //
 };
 
-use compio::runtime::Runtime;
+use compio::runtime::{
+    Runtime,
+    spawn, //
+};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use redwingyard::{
@@ -47,6 +50,7 @@
 /// A process on a thread.
 pub struct Handle {
     orders: mpsc::UnboundedSender<Order>,
+    stalls: mpsc::UnboundedSender<Duration>,
     thread: Option<JoinHandle<bool>>,
     pub addresses: Addresses,
 }
@@ -69,6 +73,14 @@
         thread.is_some_and(|thread| thread.join().unwrap_or(false))
     }
 
+    /// Returns what keeps the process from all of its work for a time, also while it drains.
+    pub fn staller(&self) -> impl Fn(Duration) + Send + 'static {
+        let stalls = self.stalls.clone();
+        move |time| {
+            let _ = stalls.unbounded_send(time);
+        }
+    }
+
     /// Breaks the process's links.
     pub fn cut(&self) {
         self.order(Order::Cut);
@@ -189,10 +201,17 @@
     drain: impl AsyncFnOnce(P) -> bool + Send + 'static,
 ) -> Handle {
     let (orders, mut receiver) = mpsc::unbounded();
+    let (stalls, mut times) = mpsc::unbounded();
     let (sender, addresses) = std::sync::mpsc::channel();
     let thread = thread::spawn(move || {
         let runtime = Runtime::new().expect("a runtime");
         runtime.block_on(async {
+            spawn(async move {
+                while let Some(time) = times.next().await {
+                    thread::sleep(time);
+                }
+            })
+            .detach();
             let (process, addresses) = start().await;
             let _ = sender.send(addresses);
             while let Some(order) = receiver.next().await {
@@ -207,6 +226,7 @@
     });
     Handle {
         orders,
+        stalls,
         thread: Some(thread),
         addresses: addresses.recv().expect("the process starts"),
     }
--- /dev/null
+++ b/tests/closes.rs
@@ -0,0 +1,237 @@
+//! What callers get on connections that a gateway closes, or might close, while requests arrive.
+
+mod net;
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::{
+    io::{
+        self,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use net::{
+    HOST,
+    ID,
+    IN_FORCE,
+    KEY,
+    Net,
+    config,
+    eventually, //
+};
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// The time in which what was sent has arrived and was dealt with.
+const ARRIVED: Duration = Duration::from_millis(100);
+
+/// A request that is served at once.
+const READ: &str = "GET /read/7 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\r\n";
+
+/// A caller's connection.
+struct Caller(TcpStream);
+
+/// What a caller got, with a length.
+struct Reply {
+    status: u16,
+    closes: bool,
+}
+
+impl Caller {
+    fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("it listens");
+        stream
+            .set_read_timeout(Some(IN_FORCE))
+            .expect("a valid time");
+        stream.set_nodelay(true).expect("it is open");
+        Self(stream)
+    }
+
+    fn send(&mut self, text: &str) -> io::Result<()> {
+        self.0.write_all(text.as_bytes())
+    }
+
+    fn reply(&mut self) -> io::Result<Reply> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.0.read_exact(&mut byte)?;
+            head.extend(byte);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        let length = field("content-length:").and_then(|length| length.trim().parse().ok());
+        let mut body = vec![0; length.expect("a length")];
+        self.0.read_exact(&mut body)?;
+        Ok(Reply {
+            status: head[9..12].parse().expect("a status"),
+            closes: field("connection:").is_some_and(|value| value.trim() == "close"),
+        })
+    }
+
+    fn ask(&mut self, text: &str) -> io::Result<Reply> {
+        self.send(text)?;
+        self.reply()
+    }
+}
+
+/// How long a caller has been there when its request comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Known {
+    /// It has had an answer.
+    Answered,
+    /// It has connected.
+    Connected,
+    /// It connects with its request.
+    New,
+}
+
+struct Late {
+    known: Known,
+    /// Whether the gateway is told to stop.
+    stop: bool,
+    /// When it stalls.
+    at: u64,
+}
+
+/// The load: a gateway that is late itself where it closes connections, while requests lie unread.
+#[rstest]
+#[case::idle_limit_kept(Late { known: Known::Answered, stop: false, at: 400 })]
+#[case::idle_limit(Late { known: Known::Connected, stop: false, at: 400 })]
+#[case::stop_kept(Late { known: Known::Answered, stop: true, at: 0 })]
+#[case::stop(Late { known: Known::Connected, stop: true, at: 0 })]
+#[case::stop_new(Late { known: Known::New, stop: true, at: 0 })]
+fn what_comes_while_a_gateway_is_late_is_answered(#[case] case: Late) {
+    let mut net = Net::start(1);
+    let address = net.0.gateways[0].addresses.http;
+    let mut caller = (case.known != Known::New).then(|| Caller::connect(address));
+    if case.known == Known::Answered {
+        let caller = caller.as_mut().expect("it has connected");
+        assert_eq!(caller.ask(READ).expect("an answer").status, 200);
+    }
+    let stall = net.0.gateways[0].staller();
+    let late = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(case.at));
+        stall(Duration::from_millis(600));
+        thread::sleep(Duration::from_millis(250));
+        let caller = caller.get_or_insert_with(|| Caller::connect(address));
+        caller.ask(READ)
+    });
+    thread::sleep(ARRIVED);
+    if case.stop {
+        assert!(net.0.gateways[0].drain());
+    }
+    let reply = late.join().expect("it ends").expect("an answer");
+    assert_eq!((reply.status, reply.closes), (200, case.stop));
+}
+
+struct Change {
+    path: &'static str,
+    tokens: &'static str,
+    change: fn(&Net, Value),
+}
+
+fn put(net: &Net, config: &Value) {
+    net.0.items.put("op/config", config);
+}
+
+fn drop_route(net: &Net, mut config: Value) {
+    config["routes"] = json!([]);
+    put(net, &config);
+}
+
+fn drop_key(net: &Net, mut config: Value) {
+    config["tenants"][0]["apiKeys"] = json!(["other"]);
+    put(net, &config);
+}
+
+fn shorten(net: &Net, mut config: Value) {
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = json!(300);
+    }
+    config["limits"]["idleTimeoutMs"] = json!(200);
+    put(net, &config);
+}
+
+fn drop_service(net: &Net, mut config: Value) {
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["service"] = json!("other");
+    }
+    config["services"] = json!([{ "name": "other" }]);
+    put(net, &config);
+    drop_targets(net, config);
+}
+
+fn drop_targets(net: &Net, config: Value) {
+    for target in &net.0.targets {
+        net.0.items.remove(&format!("servers/{}", target.name));
+    }
+    put(net, &config);
+}
+
+fn move_targets(net: &Net, config: Value) {
+    for (target, address) in net.0.targets.iter().zip(&net.0.addresses) {
+        standin::gateways::register(&net.0.items, &target.name, "other", *address, "ready");
+    }
+    put(net, &config);
+}
+
+/// The load: the configuration changes while answers are on their way.
+#[rstest]
+#[case::no_route(Change { path: "/save/1", tokens: "80000", change: drop_route })]
+#[case::no_key(Change { path: "/save/1", tokens: "80000", change: drop_key })]
+#[case::shorter(Change { path: "/save/1", tokens: "80000", change: shorten })]
+#[case::no_service(Change { path: "/save/1", tokens: "80000", change: drop_service })]
+#[case::no_target(Change { path: "/save/1", tokens: "80000", change: drop_targets })]
+#[case::moved(Change { path: "/save/1", tokens: "80000", change: move_targets })]
+#[case::stream_without_route(Change { path: "/stream/1", tokens: "80000", change: drop_route })]
+#[case::stream_without_target(Change { path: "/stream/1", tokens: "80000", change: drop_targets })]
+#[case::resumable(Change { path: "/stream/resume/1", tokens: "80000", change: drop_service })]
+fn a_change_of_the_configuration_ends_no_answer(#[case] case: Change) {
+    let net = Net::start(1);
+    let prompt = format!("1:{}", case.tokens);
+    let count = format!("{},8", case.tokens);
+    let fields = [
+        HOST,
+        KEY,
+        ID,
+        ("token-count", &count),
+        ("prompt-prefix", &prompt),
+    ];
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| net.ask("POST", case.path, &fields));
+        eventually("it runs", || net.runs() == 1);
+        (case.change)(&net, config(2, &["secret"]));
+        eventually("it is in force", || net.status(0)["generation"] == 2);
+        assert!(!asked.is_finished());
+        let answer = asked.join().expect("it ends").expect("an answer");
+        assert_eq!((answer.status, answer.whole), (200, true));
+    });
+}
+
+struct Silence {
+    method: &'static str,
+    path: &'static str,
+}
+
+/// A target reads a prompt for longer than a connection without a sign of life is kept.
+#[rstest]
+#[case::write(Silence { method: "POST", path: "/save/1" })]
+#[case::stream(Silence { method: "POST", path: "/stream/1" })]
+fn an_answer_that_begins_late_is_waited_for(#[case] case: Silence) {
+    let net = Net::start(1);
+    let fields = [HOST, KEY, ID, ("prompt-prefix", "1:250000")];
+    let answer = net.ask(case.method, case.path, &fields).expect("an answer");
+    assert_eq!((answer.status, answer.whole), (200, true));
+}
