Read a refused request's body to its end

What callers saw: a request with a body that was refused from its head (401, 404, 413, 503 without rules) lost its connection although the answer had not said so. A caller that was still sending its body got a broken pipe or a reset; one whose chunked body had come whole got the answer and then the end of a connection that it could have used again.

Cause: the body was dropped together with the refusal. hyper then reads once more and closes the reading side where the body has not ended by then, which it never has with two chunks or segments left; the connection is closed, and reset where bytes of the body are unread or still come.

Now what is left of the body is read and dropped while the answer leaves, up to 4 MB and for 5 s, after which the connection is closed as before. The body ends, so hyper keeps the connection, or closes it after the body where the answer said so.

Evidence: all six new tests failed before. Four cases ended with a broken pipe while the body was sent, one with the end of the connection at the next request, and the 413 with a broken pipe. All pass now.

--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -7,7 +7,10 @@
 };
 
 use bytes::Bytes;
-use compio::time::timeout;
+use compio::{
+    runtime::spawn,
+    time::timeout, //
+};
 use http_body_util::{
     BodyExt,
     LengthLimitError,
@@ -58,6 +61,13 @@
 /// The largest body where no rule sets a limit, in bytes.
 const MAX_BODY: u64 = 4 << 20;
 
+/// The most that is read of the rest of a refused request's body, in bytes: the largest body where
+/// no rule sets a limit.
+const MAX_DISCARD: usize = MAX_BODY as usize;
+
+/// The time that reading it may take: the `lingering_timeout` of today's web servers.
+const DISCARD_LIMIT: Duration = Duration::from_secs(5);
+
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
@@ -66,16 +76,23 @@
 
 /// Answers one request of a caller.
 pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
-    match admit(&process, request).await {
+    let (head, mut body) = request.into_parts();
+    match admit(&process, head, &mut body).await {
         Ok(call) => call.run().await,
-        Err(response) => *response,
+        Err(response) => {
+            discard(body);
+            *response
+        }
     }
 }
 
-async fn admit(process: &Rc<Process>, request: Request<Incoming>) -> Result<Call, Rejection> {
+async fn admit(
+    process: &Rc<Process>,
+    head: request::Parts,
+    body: &mut Incoming,
+) -> Result<Call, Rejection> {
     let arrived = process.clock.now();
     process.sync();
-    let (head, body) = request.into_parts();
     let rules = process.rules();
     let envelope = platform::envelope(&head.headers);
     if rules.generation() == 0 {
@@ -165,7 +182,7 @@
     }
 }
 
-async fn collect(body: Incoming, most: u64, limit: Duration) -> Result<Bytes, Rejection> {
+async fn collect(body: &mut Incoming, most: u64, limit: Duration) -> Result<Bytes, Rejection> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -188,6 +205,20 @@
     }
 }
 
+/// Reads what is left of a refused request's body while the answer leaves. Closing the connection
+/// with bytes unread would reset it, and the caller could lose the answer.
+fn discard(body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    spawn(async move {
+        let mut rest = Limited::new(body, MAX_DISCARD);
+        let read = async { while let Some(Ok(_)) = rest.frame().await {} };
+        let _ = timeout(DISCARD_LIMIT, read).await;
+    })
+    .detach();
+}
+
 /// Refuses a request while this gateway does not know enough to decide on it.
 #[cold]
 fn unready(process: &Process, envelope: &Envelope, cause: &str) -> Rejection {
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -86,6 +86,79 @@
     }
 }
 
+struct Unread {
+    kept: bool,
+    head: &'static str,
+    body: &'static [&'static str],
+    status: u16,
+}
+
+#[rstest]
+#[case::no_key(Unread {
+    kept: false,
+    head: "POST /save/1 HTTP/1.1\r\nhost: a.example\r\ncontent-length: 9\r\n\r\n",
+    body: &["abc", "def", "ghi"],
+    status: 401,
+})]
+#[case::no_route(Unread {
+    kept: false,
+    head: "POST /x HTTP/1.1\r\nhost: a.example\r\ncontent-length: 9\r\n\r\n",
+    body: &["abc", "def", "ghi"],
+    status: 404,
+})]
+#[case::in_chunks(Unread {
+    kept: false,
+    head: "POST /x HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n",
+    body: &["3\r\nabc\r\n", "3\r\ndef\r\n", "0\r\n\r\n"],
+    status: 404,
+})]
+#[case::in_chunks_at_once(Unread {
+    kept: false,
+    head: "POST /x HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n\
+           3\r\nabc\r\n3\r\ndef\r\n3\r\nghi\r\n0\r\n\r\n",
+    body: &[],
+    status: 404,
+})]
+#[case::kept(Unread {
+    kept: true,
+    head: "POST /x HTTP/1.1\r\nhost: a.example\r\ncontent-length: 9\r\n\r\n",
+    body: &["abc", "def", "ghi"],
+    status: 404,
+})]
+fn a_refusal_before_the_body_has_come_keeps_the_connection(#[case] case: Unread) {
+    let net = Net::start(1);
+    let mut caller = Caller::connect(net.0.gateways[0].addresses.http);
+    if case.kept {
+        assert_eq!(caller.ask(READ).expect("an answer").status, 200);
+    }
+    caller.send(case.head).expect("it is open");
+    for piece in case.body {
+        thread::sleep(ARRIVED);
+        caller.send(piece).expect("it is still open");
+    }
+    thread::sleep(ARRIVED);
+    let reply = caller.reply().expect("an answer");
+    assert_eq!((reply.status, reply.closes), (case.status, false));
+    assert_eq!(caller.ask(READ).expect("an answer").status, 200);
+}
+
+/// A caller reads its answer only when it has sent the whole body, which is too large.
+#[test]
+fn a_body_that_is_too_large_is_refused_and_not_reset() {
+    let net = Net::start(1);
+    let mut caller = Caller::connect(net.0.gateways[0].addresses.http);
+    let head = "POST /save/1 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n";
+    caller
+        .send(&format!("{head}content-length: 400000\r\n\r\n"))
+        .expect("it is open");
+    for _ in 0..40 {
+        caller.send(&"x".repeat(10_000)).expect("it is still open");
+        thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(caller.reply().expect("an answer").status, 413);
+    assert_eq!(net.runs(), 0);
+}
+
 /// How long a caller has been there when its request comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Known {
