Serve those that are connected when a gateway is told to stop

What callers saw: at SIGTERM a gateway closed each connection without a request under way at once, although it takes new callers for 2.6 s more. A caller that had connected and not sent its request yet, one whose request on a kept connection crossed the close, and one on a kept connection half of whose head had been read got the end of the connection and no answer.

Cause: the stop was passed to hyper's graceful_shutdown, which closes idle connections and those that have read nothing yet.

Now a stop changes only what answers say: they carry Connection: close, so each caller is served once more and told to leave. Idle connections are closed with the door, after the last callers, and so are those that are taken just before it and wait to be polled.

What remains: a request that crosses the close of an idle connection after the 2.6 s is not read and gets no answer.

--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -128,6 +128,23 @@
         self.open.get() > self.most
     }
 
+    /// Returns what ends when a connection is to close after the request that is under way.
+    fn stopped(&self) -> oneshot::Receiver<()> {
+        let (stop, stopped) = oneshot::channel();
+        let mut stops = self.stops.borrow_mut();
+        stops.retain(|stop| !stop.is_canceled());
+        stops.push(stop);
+        stopped
+    }
+
+    /// Closes connections where no request is under way, and the others after it.
+    fn close_idle(&self) {
+        for stop in self.stops.borrow_mut().drain(..) {
+            // A connection that has closed already needs no word.
+            let _ = stop.send(());
+        }
+    }
+
     /// Returns whether no further caller can be borne.
     fn is_full(&self) -> bool {
         self.open.get() > self.most.saturating_mul(FULL_PART)
@@ -200,8 +217,9 @@
 
     /// Stops gracefully; returns whether every request has ended in time.
     ///
-    /// The platform first stops sending callers here; then no connection is taken; then the
-    /// requests that are left end.
+    /// The platform first stops sending callers here, while those that are connected are served
+    /// once more and told to leave; then no connection is taken, and idle ones are closed; then
+    /// the requests that are left end.
     pub async fn drain(self) -> bool {
         let begun = self.process.clock.now();
         let limit = self.process.settings.stop().saturating_sub(STOP_MARGIN);
@@ -211,16 +229,13 @@
             "event=stopping requests={requests} connections={}",
             self.door.open.get()
         );
-        for stop in self.door.stops.borrow_mut().drain(..) {
-            // A connection that has closed already needs no word.
-            let _ = stop.send(());
-        }
         let passed = || self.process.clock.now().saturating_sub(begun);
         while passed() < LAST_CALLERS.min(limit) {
             sleep(TICK_INTERVAL).await;
         }
         self.door.closed.set(true);
         while self.door.open.get() > 0 && passed() < limit {
+            self.door.close_idle();
             sleep(TICK_INTERVAL).await;
         }
         let left = self.door.open.get();
@@ -270,13 +285,13 @@
     };
     let limit = process.rules().limit(Limit::HeaderBytes);
     let most = limit.map_or(MAX_HEAD, |limit| limit as usize);
-    let stopping = process.is_stopping();
     let service = service_fn(|request: Request<Incoming>| {
         let (process, door) = (process.clone(), door.clone());
         async move {
-            let mut response = front::handle(process, request).await;
+            let mut response = front::handle(process.clone(), request).await;
             // Those that are served come back at once, over the same connection.
-            if door.is_crowded() && !response.status().is_success() {
+            let crowded = door.is_crowded() && !response.status().is_success();
+            if crowded || process.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -285,18 +300,12 @@
     });
     let idle = process.rules().limit(Limit::IdleTime);
     let connection = http1::Builder::new()
-        .keep_alive(!stopping)
         .max_buf_size(most.max(LEAST_BUFFER))
         .timer(CompioTimer)
         // It also counts the time before a head begins.
         .header_read_timeout(idle.map_or(IDLE_LIMIT, Duration::from_millis))
         .serve_connection(stream, service);
-    let (stop, stopped) = oneshot::channel();
-    if !stopping {
-        let mut stops = door.stops.borrow_mut();
-        stops.retain(|stop| !stop.is_canceled());
-        stops.push(stop);
-    }
+    let stopped = door.stopped();
     let connection = std::pin::pin!(connection);
     if let Either::Right((Ok(()), mut connection)) = select(connection, stopped).await {
         connection.as_mut().graceful_shutdown();
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -159,6 +159,43 @@
     assert_eq!(net.runs(), 0);
 }
 
+/// A head that arrives in two parts.
+const HALVES: (&str, &str) = READ.split_at("GET /read/7 HTTP/1.1".len());
+
+/// A request and the first part of another one.
+const READ_AND_HALF: &str =
+    "GET /read/7 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\r\nGET /read/7 HTTP/1.1";
+
+struct LetIn {
+    before: &'static str,
+    answered: bool,
+    after: &'static str,
+}
+
+/// The load: callers that the platform sent here just before the stop, or that keep a connection
+/// and have not heard of the stop yet.
+#[rstest]
+#[case::new(LetIn { before: "", answered: false, after: READ })]
+#[case::kept(LetIn { before: READ, answered: true, after: READ })]
+#[case::half_a_head(LetIn { before: HALVES.0, answered: false, after: HALVES.1 })]
+#[case::half_a_head_kept(LetIn { before: READ_AND_HALF, answered: true, after: HALVES.1 })]
+fn a_caller_that_is_in_before_a_stop_is_served(#[case] case: LetIn) {
+    let mut net = Net::start(1);
+    let mut caller = Caller::connect(net.0.gateways[0].addresses.http);
+    caller.send(case.before).expect("it is open");
+    if case.answered {
+        assert_eq!(caller.reply().expect("an answer").status, 200);
+    }
+    thread::sleep(ARRIVED);
+    let later = thread::spawn(move || {
+        thread::sleep(ARRIVED);
+        caller.ask(case.after)
+    });
+    assert!(net.0.gateways[0].drain());
+    let reply = later.join().expect("it ends").expect("an answer");
+    assert_eq!((reply.status, reply.closes), (200, true));
+}
+
 /// How long a caller has been there when its request comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Known {
