Bound the token counts that a caller claims

What callers saw: a request whose Token-Count or Prompt-Prefix names more tokens than fit into the sums of the pool ends with a closed connection in a build that checks arithmetic, and so do those that share its turn; its connection is counted as open for good. A release build wraps: a claim of 2^64-1 tokens is charged as 15 and is taken to fit into any engine's memory.

Cause: the pool adds what callers claim. Now a claim counts for 2^32-1 tokens at most, far more than any engine keeps, where it is decoded; the target still gets the caller's own field.

Evidence: all three cases of the new test failed before with an addition or a multiplication that overflows, and pass now.

--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -38,6 +38,10 @@
 /// Says that the target leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
+/// The most tokens that are counted of any claim: more than an engine's memory has, and so few that
+/// sums of them fit into 64 bits.
+const MAX_TOKENS: u64 = u32::MAX as u64;
+
 /// The fields that only the system may set, so those of callers are dropped.
 const RESERVED: [&str; 8] = [
     "tenant",
@@ -122,19 +126,25 @@
 
 fn prompt(tokens: &str, parts: Option<&str>, hint: Option<&str>) -> Option<Prompt> {
     let (input, most) = tokens.split_once(',')?;
-    let most: u64 = most.trim().parse().ok()?;
-    let hint = hint.and_then(|hint| hint.trim().parse().ok());
+    let most = count(most)?;
+    let hint = hint.and_then(count);
     let parts = parts.unwrap_or_default().split(',').filter_map(|part| {
         let (id, tokens) = part.trim().split_once(':')?;
-        Some((id, tokens.parse().ok()?))
+        Some((id, count(tokens)?))
     });
     Some(Prompt {
         parts: Part::chain(parts),
-        input: input.trim().parse().ok()?,
+        input: count(input)?,
         output: hint.unwrap_or(most).min(most),
     })
 }
 
+/// Returns a number of tokens, or the most that is counted.
+fn count(text: &str) -> Option<u64> {
+    let tokens: u64 = text.trim().parse().ok()?;
+    Some(tokens.min(MAX_TOKENS))
+}
+
 /// Turns a caller's header fields into those for a target.
 ///
 /// # Panics
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -346,3 +346,25 @@
     let answer = net.ask(case.method, case.path, &fields).expect("an answer");
     assert_eq!((answer.status, answer.whole), (200, true));
 }
+
+struct Claim {
+    tokens: &'static str,
+    parts: &'static str,
+}
+
+#[rstest]
+#[case::input(Claim { tokens: "18446744073709551615,8", parts: "1:8,2:8" })]
+#[case::output(Claim { tokens: "8,18446744073709551615", parts: "1:8,2:8" })]
+#[case::parts(Claim { tokens: "8,8", parts: "1:18446744073709551615,2:18446744073709551615,3:1" })]
+fn a_claim_of_any_size_gets_an_answer(#[case] case: Claim) {
+    let net = Net::start(1);
+    let fields = format!(
+        "host: a.example\r\ncredential: secret\r\ntoken-count: {}\r\nprompt-prefix: {}",
+        case.tokens, case.parts
+    );
+    // The target would read all of it for long; what matters is that the gateway goes on.
+    let mut caller = Caller::connect(net.0.gateways[0].addresses.http);
+    let head = format!("GET /read/7 HTTP/1.1\r\n{fields}\r\ndeadline: 200\r\n\r\n");
+    assert!(caller.ask(&head).is_ok());
+    assert_eq!(caller.ask(READ).expect("an answer").status, 200);
+}
