Answer what is left when the time for a stop is over

What callers saw: a request whose target was still at work at the end of the stop ended with the end of its connection and no answer.

Cause: the process ended with these requests in hand.

Now their callers are answered, within the margin that is kept before the platform's kill: 504, which promises nothing, or the broken end of a stream that has begun. The return value of the stop and its exit status stay: not every request has ended in time.

Evidence: all three cases of the new test failed before with the end of the connection, and pass now. A stream that has begun is still cut there; its caller sees that it is not complete.

--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -287,6 +287,13 @@
         }
     }
 
+    /// Ends all requests that have not ended.
+    pub(super) fn give_up(&self) {
+        for sender in self.orders.borrow().values() {
+            let _ = sender.unbounded_send(Order::Expire);
+        }
+    }
+
     pub(super) fn perform(&self, outs: Vec<Output>) {
         for out in outs {
             log::info!("{}", Line::of(&out));
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -68,6 +68,9 @@
 /// The time that is kept at the end of a stop for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// The part of that time in which callers whose requests have not ended are told so.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
 /// The memory of a process without callers, in bytes: rules, targets, what is learnt of engines.
 const OWN_MEMORY: usize = 24 << 20;
 
@@ -241,6 +244,10 @@
             sleep(TICK_INTERVAL).await;
         }
         let left = self.door.open.get();
+        if left > 0 {
+            self.process.give_up();
+            sleep(LAST_ANSWERS).await;
+        }
         log::info!("event=stop connections={left}");
         left == 0
     }
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -32,6 +32,7 @@
     Value,
     json, //
 };
+use standin::instance::Mode;
 
 /// The time in which what was sent has arrived and was dealt with.
 const ARRIVED: Duration = Duration::from_millis(100);
@@ -196,6 +197,28 @@
     assert_eq!((reply.status, reply.closes), (200, true));
 }
 
+struct Unended {
+    path: &'static str,
+}
+
+/// The load: targets that are still at work when the time for a stop is over.
+#[rstest]
+#[case::read(Unended { path: "/read/1" })]
+#[case::write(Unended { path: "/save/1" })]
+#[case::stream(Unended { path: "/stream/1" })]
+fn what_a_stop_does_not_wait_for_is_told_so(#[case] case: Unended) {
+    let mut net = Net::with(1, |settings| settings.stop_s = 1.0);
+    net.set([Mode::Mute; 2]);
+    let mut caller = Caller::connect(net.0.gateways[0].addresses.http);
+    let fields = "host: a.example\r\ncredential: secret\r\ncontent-length: 0";
+    let request = format!("POST {} HTTP/1.1\r\n{fields}\r\n\r\n", case.path);
+    let asked = thread::spawn(move || caller.ask(&request));
+    eventually("it runs", || net.runs() == 1);
+    assert!(!net.0.gateways[0].drain());
+    let reply = asked.join().expect("it ends").expect("an answer");
+    assert_eq!((reply.status, reply.closes), (504, true));
+}
+
 /// How long a caller has been there when its request comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Known {
