Give each region of the stand-ins a port of its own

Once in the first run of the new tests, a gateway could not start: its port for other gateways, found free a moment before, was in use. Tests of one file run side by side, and the system may give a port out again before it is bound. The stand-ins now give out no port twice in one program.

--- a/examples/standin/gateways.rs
+++ b/examples/standin/gateways.rs
@@ -1,8 +1,12 @@
 //! Gateways over loopback with a store and targets that register themselves.
 
-use std::net::{
-    SocketAddr,
-    UdpSocket, //
+use std::{
+    collections::BTreeSet,
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::Mutex, //
 };
 
 use redwingyard::settings::GatewaySettings;
@@ -86,10 +90,23 @@
     items.put(&format!("servers/{name}"), &value);
 }
 
+/// Returns a port that no other region of this program gets: a free one may be given out again
+/// before it is bound.
+fn free_port() -> u16 {
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut given = GIVEN.lock().expect("no holder panics");
+    loop {
+        let free = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        let port = free.local_addr().expect("a bound port").port();
+        if given.insert(port) {
+            return port;
+        }
+    }
+}
+
 /// Returns the settings of gateways that share a port at addresses of their own.
 fn settings(count: u8, store: SocketAddr) -> impl Iterator<Item = GatewaySettings> {
-    let free = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    let port = free.local_addr().expect("a bound port").port();
+    let port = free_port();
     let peer = move |last| SocketAddr::from(([127, 0, 0, last], port));
     (1..=count).map(move |i| {
         let peers: Vec<_> = [i].into_iter().chain(1..=count).map(peer).collect();
