Guard heads that arrive in parts at a late gateway

Half a head before the gateway stalls and the rest meanwhile, with the idle limit or a stop falling into the stall: answered. No logic changes; both cases pass.

--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -226,6 +226,8 @@
     Answered,
     /// It has connected.
     Connected,
+    /// It has sent a part of the head.
+    Begun,
     /// It connects with its request.
     New,
 }
@@ -242,6 +244,8 @@
 #[rstest]
 #[case::idle_limit_kept(Late { known: Known::Answered, stop: false, at: 400 })]
 #[case::idle_limit(Late { known: Known::Connected, stop: false, at: 400 })]
+#[case::idle_limit_begun(Late { known: Known::Begun, stop: false, at: 400 })]
+#[case::stop_begun(Late { known: Known::Begun, stop: true, at: 0 })]
 #[case::stop_kept(Late { known: Known::Answered, stop: true, at: 0 })]
 #[case::stop(Late { known: Known::Connected, stop: true, at: 0 })]
 #[case::stop_new(Late { known: Known::New, stop: true, at: 0 })]
@@ -250,9 +254,16 @@
     let mut net = Net::start(1);
     let address = net.0.gateways[0].addresses.http;
     let mut caller = (case.known != Known::New).then(|| Caller::connect(address));
-    if case.known == Known::Answered {
-        let caller = caller.as_mut().expect("it has connected");
-        assert_eq!(caller.ask(READ).expect("an answer").status, 200);
+    let mut request = READ;
+    match (case.known, &mut caller) {
+        (Known::Answered, Some(caller)) => {
+            assert_eq!(caller.ask(READ).expect("an answer").status, 200);
+        }
+        (Known::Begun, Some(caller)) => {
+            caller.send(HALVES.0).expect("it is open");
+            request = HALVES.1;
+        }
+        _ => {}
     }
     let stall = net.0.gateways[0].staller();
     let late = thread::spawn(move || {
@@ -260,7 +271,7 @@
         stall(Duration::from_millis(600));
         thread::sleep(Duration::from_millis(250));
         let caller = caller.get_or_insert_with(|| Caller::connect(address));
-        caller.ask(READ)
+        caller.ask(request)
     });
     thread::sleep(ARRIVED);
     if case.stop {
