--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -11,7 +11,10 @@
     Bytes,
     BytesMut, //
 };
-use compio::time::timeout;
+use compio::{
+    runtime::spawn,
+    time::timeout, //
+};
 use http_body_util::{
     BodyExt,
     LengthLimitError,
@@ -67,30 +70,41 @@
 /// The largest body where no rule sets a limit, in bytes.
 const MAX_BODY: u64 = 4 << 20;
 
+/// The most that is read of the rest of a refused request's body, in bytes: the largest body where
+/// no rule sets a limit.
+const MAX_DISCARD: usize = MAX_BODY as usize;
+
+/// The time that reading it may take: the `lingering_timeout` of today's web servers.
+const DISCARD_LIMIT: Duration = Duration::from_secs(5);
+
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
 /// How many times its size a buffer may take while it grows, since it is copied then.
 const GROWTH: usize = 2;
 
-/// The time for which the rest of a body is read that is not kept: some round trips.
-const DISCARD_LIMIT: Duration = Duration::from_millis(500);
-
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
 /// Answers one request of a caller.
 pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
-    match admit(&process, request).await {
+    let (head, mut body) = request.into_parts();
+    match admit(&process, head, &mut body).await {
         Ok(call) => call.run().await,
-        Err(response) => *response,
+        Err(response) => {
+            discard(body);
+            *response
+        }
     }
 }
 
-async fn admit(process: &Rc<Process>, request: Request<Incoming>) -> Result<Call, Rejection> {
+async fn admit(
+    process: &Rc<Process>,
+    head: request::Parts,
+    body: &mut Incoming,
+) -> Result<Call, Rejection> {
     let arrived = process.clock.now();
     process.sync();
-    let (head, body) = request.into_parts();
     let rules = process.rules();
     let envelope = platform::envelope(&head.headers);
     if rules.generation() == 0 {
@@ -199,7 +213,7 @@
 async fn collect(
     process: &Process,
     envelope: &Envelope,
-    body: Incoming,
+    body: &mut Incoming,
     most: u64,
     limit: Duration,
 ) -> Result<Bytes, Rejection> {
@@ -210,10 +224,7 @@
     let mut body = Limited::new(body, most);
     match timeout(limit, take(&process.memory, &mut body)).await {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(Untaken::NoRoom)) => {
-            discard(body, limit).await;
-            Err(unroomed(process, envelope))
-        }
+        Ok(Err(Untaken::NoRoom)) => Err(unroomed(process, envelope)),
         Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => {
             let detail = "the body is larger than the rules allow";
             let status = StatusCode::PAYLOAD_TOO_LARGE;
@@ -231,7 +242,7 @@
 }
 
 /// Reads a body whole where there is memory for it, known from its length if it has one.
-async fn take(memory: &Memory, body: &mut Limited<Incoming>) -> Result<Bytes, Untaken> {
+async fn take(memory: &Memory, body: &mut Limited<&mut Incoming>) -> Result<Bytes, Untaken> {
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
     let mut whole = BytesMut::with_capacity(expected.min(MAX_BODY as usize));
@@ -248,11 +259,18 @@
     Ok(hold(whole.freeze(), holding))
 }
 
-/// Reads the rest of a body without keeping it, so that its sender gets to read the answer.
-async fn discard(mut body: Limited<Incoming>, limit: Duration) {
-    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-    // A sender that is slower than that may miss the answer.
-    let _ = timeout(DISCARD_LIMIT.min(limit), rest).await;
+/// Reads what is left of a refused request's body while the answer leaves. Closing the connection
+/// with bytes unread would reset it, and the caller could lose the answer.
+fn discard(body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    spawn(async move {
+        let mut rest = Limited::new(body, MAX_DISCARD);
+        let read = async { while let Some(Ok(_)) = rest.frame().await {} };
+        let _ = timeout(DISCARD_LIMIT, read).await;
+    })
+    .detach();
 }
 
 /// Refuses a request for whose body there is no memory.
