Take the time that a request lay unread off its budget

Cause: a gateway without processor time reads a request long after it was sent and counted the caller's time from when it read it. Its target got more time than was left, and requests were sent on for callers that had gone.

The time of arrival is now bounded from below: by when the connection (or the listen queue) was last found empty, and by when the last tick that has run was due, as tasks run in the order in which they become ready. A request whose time was over when it was read is refused.

Ruled out: the delay of the last tick alone, which says nothing of what came after that tick; that hyper polls the service of a caller whose end of file it has not read (it reads the socket first on every poll of a connection).

Test: time_unread_is_taken_off_the_budget, a gateway held for 0.4 s; of nine cases the seven late ones fail without the change.

It does not help where a caller leaves a stream before its budget ends.

--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -38,6 +38,8 @@
 enum Order {
     /// Break its links.
     Cut,
+    /// Do nothing else for a time, as a process without processor time.
+    Hold(Duration),
     /// Shut down gracefully.
     Drain,
     /// Stop at once, as if the VM had failed.
@@ -74,6 +76,11 @@
         self.order(Order::Cut);
     }
 
+    /// Keeps the process from doing anything for a time.
+    pub fn hold(&self, time: Duration) {
+        self.order(Order::Hold(time));
+    }
+
     /// Shuts the process down gracefully; returns whether it drained.
     pub fn drain(&mut self) -> bool {
         self.order(Order::Drain);
@@ -198,6 +205,7 @@
             while let Some(order) = receiver.next().await {
                 match order {
                     Order::Cut => cut(&process),
+                    Order::Hold(time) => thread::sleep(time),
                     Order::Drain => return drain(process).await,
                     Order::Kill => break,
                 }
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -106,6 +106,9 @@
     /// It has waited as long as it may.
     #[display("waited")]
     Waited,
+    /// It was read when its time was over.
+    #[display("late")]
+    Late,
     /// No target of the service is known.
     #[display("no-target")]
     NoTarget,
--- a/src/pool/refuse.rs
+++ b/src/pool/refuse.rs
@@ -54,7 +54,10 @@
         let hold = super::place::hold(ask);
         let work = self.work_of(ask);
         let expected = self.expected(now, ask.service, ask.account);
-        let cause = self.turns_away(ask.service, hold, expected)?;
+        let cause = match now < ask.deadline {
+            true => self.turns_away(ask.service, hold, expected)?,
+            false => Refusal::Late,
+        };
         let lane = self.lane(ask.service);
         lane.ledger.ask(now, ask.account, work);
         lane.budget.earn();
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -34,6 +34,7 @@
     refusal::refusal, //
 };
 use crate::{
+    ids::Time,
     platform::{
         self,
         Envelope, //
@@ -58,22 +59,32 @@
 /// The largest body where no rule sets a limit, in bytes.
 const MAX_BODY: u64 = 4 << 20;
 
+/// The least time that a body may take: it lay unread with its head.
+const LEAST_BODY_TIME: Duration = Duration::from_millis(100);
+
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
-/// Answers one request of a caller.
-pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
-    match admit(&process, request).await {
+/// Answers one request of a caller, which arrived at a time.
+pub(super) async fn handle(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    arrived: Time,
+) -> Response<Body> {
+    match admit(&process, request, arrived).await {
         Ok(call) => call.run().await,
         Err(response) => *response,
     }
 }
 
-async fn admit(process: &Rc<Process>, request: Request<Incoming>) -> Result<Call, Rejection> {
-    let arrived = process.clock.now();
+async fn admit(
+    process: &Rc<Process>,
+    request: Request<Incoming>,
+    arrived: Time,
+) -> Result<Call, Rejection> {
     process.sync();
     let (head, body) = request.into_parts();
     let rules = process.rules();
@@ -95,7 +106,8 @@
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
     let most = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY);
-    let body = collect(body, most, deadline.saturating_sub(arrived)).await?;
+    let left = deadline.saturating_sub(process.clock.now());
+    let body = collect(body, most, left.max(LEAST_BODY_TIME)).await?;
     let ask = Ask {
         account: account.as_deref().map_or(0, crate::ids::id),
         service: route.service(fastrand::u64(..)),
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -101,6 +101,8 @@
     pub(super) inbox: Arc<Inbox>,
     stopping: Cell<Option<Time>>,
     ticked: Cell<Time>,
+    /// When the last tick was due that has run.
+    due: Cell<Time>,
     strain: RefCell<Strain>,
 }
 
@@ -125,6 +127,7 @@
             inbox: Arc::default(),
             stopping: Cell::new(None),
             ticked: Cell::new(Duration::ZERO),
+            due: Cell::new(Duration::ZERO),
             strain: RefCell::default(),
             settings,
         }
@@ -273,6 +276,7 @@
         let now = self.clock.now();
         let due = self.ticked.replace(now) + TICK_INTERVAL;
         let late = now.saturating_sub(due);
+        self.due.set(due);
         self.metrics.delay.set(late.as_millis() as i64);
         if late >= LATE {
             self.pool.borrow_mut().excuse(now, late);
@@ -287,6 +291,20 @@
         }
     }
 
+    /// Returns when at the earliest that has arrived which is read now from a queue that was last
+    /// found empty at `drained`; a process that is not late reads it as it arrives.
+    ///
+    /// Tasks run in the order in which they become ready, so what runs after a tick became ready
+    /// after that tick was due.
+    pub(super) fn arrival(&self, drained: Time) -> Time {
+        let now = self.clock.now();
+        let earliest = drained.max(self.due.get());
+        match now.saturating_sub(earliest) < LATE {
+            true => now,
+            false => earliest,
+        }
+    }
+
     pub(super) fn perform(&self, outs: Vec<Output>) {
         for out in outs {
             log::info!("{}", Line::of(&out));
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -8,6 +8,7 @@
     convert::Infallible,
     net::SocketAddr,
     rc::Rc,
+    task::Poll,
     time::Duration, //
 };
 
@@ -21,9 +22,12 @@
 };
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
-use futures_util::future::{
-    Either,
-    select, //
+use futures_util::{
+    future::{
+        Either,
+        select, //
+    },
+    poll, //
 };
 use hyper::{
     Request,
@@ -57,7 +61,10 @@
     shell::{
         StartError,
         admin,
-        stream::Stream, //
+        stream::{
+            Drained,
+            Stream, //
+        }, //
     }, //
 };
 
@@ -237,18 +244,29 @@
 }
 
 async fn accept(process: Rc<Process>, door: Rc<Door>, listener: TcpListener) {
+    // When no caller waited to be let in; the time for which the door was full is not known.
+    let mut drained = process.clock.now();
     loop {
         while door.is_full() {
             sleep(TICK_INTERVAL).await;
         }
-        match listener.accept().await {
+        let mut accept = std::pin::pin!(listener.accept());
+        let accepted = match poll!(accept.as_mut()) {
+            Poll::Ready(accepted) => accepted,
+            Poll::Pending => {
+                drained = process.clock.now();
+                accept.await
+            }
+        };
+        match accepted {
             Ok(_) if door.closed.get() => return,
             Ok((stream, _)) => {
                 let process = process.clone();
                 let door = door.clone();
                 door.open.set(door.open.get() + 1);
+                let drained = Drained::new(process.clock.clone(), process.arrival(drained));
                 spawn(async move {
-                    converse(process, &door, stream).await;
+                    converse(process, &door, stream, drained).await;
                     door.open.set(door.open.get() - 1);
                 })
                 .detach();
@@ -262,10 +280,10 @@
 }
 
 /// Serves one connection of a caller until it ends.
-async fn converse(process: Rc<Process>, door: &Rc<Door>, stream: TcpStream) {
+async fn converse(process: Rc<Process>, door: &Rc<Door>, stream: TcpStream, drained: Drained) {
     let _ = stream.set_nodelay(true);
     let stream = match Stream::new(stream) {
-        Ok(stream) => stream,
+        Ok(stream) => stream.noting(drained.clone()),
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let limit = process.rules().limit(Limit::HeaderBytes);
@@ -273,8 +291,9 @@
     let stopping = process.is_stopping();
     let service = service_fn(|request: Request<Incoming>| {
         let (process, door) = (process.clone(), door.clone());
+        let arrived = process.arrival(drained.at());
         async move {
-            let mut response = front::handle(process, request).await;
+            let mut response = front::handle(process, request, arrived).await;
             // Those that are served come back at once, over the same connection.
             if door.is_crowded() && !response.status().is_success() {
                 let close = HeaderValue::from_static("close");
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -4,11 +4,13 @@
 //! thousands of connections in little memory, so here hyper's own buffers are the only ones.
 
 use std::{
+    cell::Cell,
     io::{
         self,
         IoSlice, //
     },
     pin::Pin,
+    rc::Rc,
     task::{
         Context,
         Poll,
@@ -27,23 +29,61 @@
 };
 use socket2::Socket;
 
+use super::Clock;
+use crate::ids::Time;
+
 /// The reads that succeed one after another before other tasks have their turn: a peer that sends
 /// without end must not keep the process to itself.
 const MAX_STREAK: u32 = 16;
 
+/// When a connection was last found to have nothing to read.
+#[derive(Clone, Debug)]
+pub(super) struct Drained {
+    clock: Clock,
+    at: Rc<Cell<Time>>,
+}
+
+impl Drained {
+    /// Starts with the time before which nothing can have arrived.
+    pub(super) fn new(clock: Clock, at: Time) -> Self {
+        let at = Rc::new(Cell::new(at));
+        Self { clock, at }
+    }
+
+    /// Returns the time.
+    pub(super) fn at(&self) -> Time {
+        self.at.get()
+    }
+
+    fn note(&self) {
+        self.at.set(self.clock.now());
+    }
+}
+
 /// A connection without buffers of its own.
 #[derive(Debug)]
 pub(super) struct Stream {
     socket: PollFd<Socket>,
     /// The reads that have succeeded one after another.
     streak: u32,
+    drained: Option<Drained>,
 }
 
 impl Stream {
     /// Wraps a connection.
     pub(super) fn new(stream: TcpStream) -> io::Result<Self> {
         let socket = stream.into_poll_fd()?;
-        Ok(Self { socket, streak: 0 })
+        Ok(Self {
+            socket,
+            streak: 0,
+            drained: None,
+        })
+    }
+
+    /// Notes from now on when there is nothing to read.
+    pub(super) fn noting(mut self, drained: Drained) -> Self {
+        self.drained = Some(drained);
+        self
     }
 }
 
@@ -65,6 +105,9 @@
             Poll::Ready(_) => self.streak + 1,
             Poll::Pending => 0,
         };
+        if let (Poll::Pending, Some(drained)) = (&polled, &self.drained) {
+            drained.note();
+        }
         let read = ready!(polled)?;
         // SAFETY: `recv` has initialized that many bytes.
         unsafe { buf.advance(read) };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -23,6 +23,7 @@
     time::timeout, //
 };
 use futures_util::future::join_all;
+use hyper::HeaderMap;
 use net::{
     HOST,
     ID,
@@ -267,6 +268,79 @@
     assert_eq!(read, 2_000 + 6 * 10);
 }
 
+/// How long a gateway that is late does not read.
+const HELD: Duration = Duration::from_millis(400);
+
+/// What the machine may add to a time.
+const SLACK: Duration = Duration::from_millis(250);
+
+/// The time limit of the routes.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+struct Unread {
+    held: Duration,
+    /// The time that the caller waits, in milliseconds.
+    budget: &'static str,
+    /// Whether the connection has had a request before.
+    kept: bool,
+    body: &'static str,
+    status: u16,
+}
+
+/// The load: a gateway without processor time, which reads a request long after it was sent. A
+/// target that is given the whole of the caller's time works on when the caller has gone.
+#[rstest]
+#[case::in_time(Unread { held: Duration::ZERO, budget: "2000", kept: false, body: "", status: 200 })]
+#[case::in_time_on_a_kept_connection(Unread { held: Duration::ZERO, budget: "2000", kept: true, body: "", status: 200 })]
+#[case::late(Unread { held: HELD, budget: "2000", kept: false, body: "", status: 200 })]
+#[case::late_on_a_kept_connection(Unread { held: HELD, budget: "2000", kept: true, body: "", status: 200 })]
+#[case::late_with_a_body(Unread { held: HELD, budget: "2000", kept: true, body: "body", status: 200 })]
+#[case::longer_than_the_route(Unread { held: HELD, budget: "9000", kept: false, body: "", status: 200 })]
+#[case::too_late(Unread { held: HELD, budget: "300", kept: false, body: "", status: 503 })]
+#[case::too_late_on_a_kept_connection(Unread { held: HELD, budget: "300", kept: true, body: "", status: 503 })]
+#[case::too_late_with_a_body(Unread { held: HELD, budget: "300", kept: true, body: "body", status: 503 })]
+fn time_unread_is_taken_off_the_budget(#[case] case: Unread) {
+    let net = Net::start(1);
+    let gateway = &net.0.gateways[0];
+    let runtime = Runtime::new().expect("a runtime");
+    let mut client = Client::new(gateway.addresses.http);
+    let before = if case.kept { 1 } else { 0 };
+    if case.kept {
+        let send = client.send("GET", "/read/1", &[HOST, KEY, ID], "");
+        assert_eq!(runtime.block_on(send).expect("an answer").status, 200);
+        // Connections to targets wait for nothing now.
+        thread::sleep(Duration::from_millis(100));
+    }
+    gateway.hold(case.held);
+    thread::sleep(Duration::from_millis(50));
+    let sent = Instant::now();
+    let fields = [HOST, KEY, ID, ("deadline", case.budget)];
+    let send = client.send("POST", "/save/1", &fields, case.body);
+    let answer = runtime.block_on(send).expect("an answer");
+    assert_eq!(answer.status, case.status);
+    assert_eq!(
+        answer.headers.contains_key("retry-after"),
+        case.status == 503
+    );
+    let runs: Vec<_> = net.0.targets.iter().flat_map(Instance::runs).collect();
+    let given = |fields: &HeaderMap| {
+        let text = fields.get("deadline")?.to_str().ok()?;
+        Some(Duration::from_millis(text.parse().ok()?))
+    };
+    let given: Vec<_> = runs.iter().filter_map(given).collect();
+    if case.status == 503 {
+        assert_eq!(given.len(), before, "it has not run");
+        return;
+    }
+    let given = given.into_iter().min().expect("it has run");
+    let budget = Duration::from_millis(case.budget.parse().expect("a number"));
+    let unread = case.held.saturating_sub(Duration::from_millis(50));
+    let left = budget.min(TIMEOUT) - unread;
+    assert!(given <= left + Duration::from_millis(5), "{given:?}");
+    let took = sent.elapsed().saturating_sub(unread);
+    assert!(given + took + SLACK >= left, "{given:?} after {took:?}");
+}
+
 struct Leaving {
     path: &'static str,
     mode: Mode,
