Refuse at once what its caller would not wait for

Cause: a stream's caller leaves when no event has come for 2 s or four objectives, long before its budget ends. A process without processor time sends such a request on all the same, and is as late again when it sends it, reads the beginning of the answer and passes it on.

A request that lay unread for a time is expected to wait as long at each of the three steps that follow; where its caller will have gone by then, it is refused with a time to come back.

Test: what_its_caller_would_not_wait_for_is_refused_at_once.

--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -38,6 +38,11 @@
 /// Says that the target leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
+/// The objectives that callers wait for the next event of a stream.
+const PATIENCE: u32 = 4;
+/// The least time that they wait for it.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// The fields that only the system may set, so those of callers are dropped.
 const RESERVED: [&str; 8] = [
     "tenant",
@@ -135,6 +140,18 @@
     })
 }
 
+/// Returns how long a caller at least waits for the first event of a stream with an objective.
+///
+/// ```
+/// use std::time::Duration;
+/// use redwingyard::platform::patience;
+/// assert_eq!(patience(Duration::from_millis(600)), Duration::from_millis(2_400));
+/// assert_eq!(patience(Duration::from_millis(400)), Duration::from_secs(2));
+/// ```
+pub fn patience(objective: Duration) -> Duration {
+    (objective * PATIENCE).max(LEAST_PATIENCE)
+}
+
 /// Turns a caller's header fields into those for a target.
 ///
 /// # Panics
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,6 +21,7 @@
     address,
     envelope,
     notice,
+    patience,
     verdict, //
 };
 pub use store::{
--- a/src/pool/ask.rs
+++ b/src/pool/ask.rs
@@ -45,6 +45,10 @@
     pub objective: Duration,
     /// When the request must have ended.
     pub deadline: Time,
+    /// How long it lay unread, as far as this process was late.
+    pub unread: Duration,
+    /// How long its caller waits for the first byte, where that is less than until the deadline.
+    pub patience: Option<Duration>,
     /// What it asks of a model engine, if it is for one.
     pub prompt: Option<Prompt>,
 }
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -106,7 +106,7 @@
     /// It has waited as long as it may.
     #[display("waited")]
     Waited,
-    /// It was read when its time was over.
+    /// It was read so late that its caller will have gone before an answer begins.
     #[display("late")]
     Late,
     /// No target of the service is known.
--- a/src/pool/refuse.rs
+++ b/src/pool/refuse.rs
@@ -1,7 +1,8 @@
 //! Refusing: which requests can't be served in time, and when their callers should come back.
 //!
 //! It answers the load of an account that asks for far more than its share: what could not be
-//! queued is refused at once, at next to no cost.
+//! queued is refused at once, at next to no cost. It also answers a process without processor
+//! time: what its caller would not wait for is not begun.
 
 use std::time::Duration;
 
@@ -25,6 +26,10 @@
 /// The part of the caller's time that it is told to wait at most; callers give up on more.
 const RETRY_PART: f64 = 0.3;
 
+/// The steps of a request that wait for this process after it was read: it is sent, and the
+/// beginning of its answer is read and passed on.
+const STEPS: u32 = 3;
+
 /// How long a request would wait.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Expected {
@@ -44,6 +49,14 @@
     }
 }
 
+/// Returns whether a request's caller will have gone before an answer begins: as long as it lay
+/// unread, it waits again at each step.
+fn is_hopeless(now: Time, ask: &Ask) -> bool {
+    let left = ask.deadline.saturating_sub(now);
+    let patience = ask.patience.map(|time| time.saturating_sub(ask.unread));
+    ask.unread * STEPS >= patience.map_or(left, |time| time.min(left))
+}
+
 impl Pool {
     /// Refuses a request that could not be queued, without taking it in; returns why, and when to
     /// come back.
@@ -54,9 +67,9 @@
         let hold = super::place::hold(ask);
         let work = self.work_of(ask);
         let expected = self.expected(now, ask.service, ask.account);
-        let cause = match now < ask.deadline {
-            true => self.turns_away(ask.service, hold, expected)?,
-            false => Refusal::Late,
+        let cause = match is_hopeless(now, ask) {
+            true => Refusal::Late,
+            false => self.turns_away(ask.service, hold, expected)?,
         };
         let lane = self.lane(ask.service);
         lane.ledger.ask(now, ask.account, work);
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -85,6 +85,7 @@
     request: Request<Incoming>,
     arrived: Time,
 ) -> Result<Call, Rejection> {
+    let unread = process.clock.now().saturating_sub(arrived);
     process.sync();
     let (head, body) = request.into_parts();
     let rules = process.rules();
@@ -115,6 +116,8 @@
         attempts: route.attempts,
         objective: route.objective(),
         deadline,
+        unread,
+        patience: route.stream.then(|| platform::patience(route.objective())),
         prompt: envelope.prompt,
     };
     if let Some((cause, retry)) = process.turn_away(&ask) {
--- a/src/shell/gateway/refusal.rs
+++ b/src/shell/gateway/refusal.rs
@@ -29,7 +29,7 @@
         Refusal::Waited => "no target had room within the objective",
         Refusal::NoTarget => "no target of the service is known",
         Refusal::Resting => "every target has asked for a pause",
-        Refusal::Late => "its time is over or too short",
+        Refusal::Late => "the request was read too late",
         Refusal::Attempts => "no target took the request",
     };
     let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -74,6 +74,8 @@
         attempts: 2,
         objective: OBJECTIVE,
         deadline: millis(5_000),
+        unread: Duration::ZERO,
+        patience: None,
         prompt: None,
     }
 }
@@ -515,6 +517,49 @@
     assert_eq!(pool.turn_away(now, &ask(8)), None);
 }
 
+struct Late {
+    unread: u64,
+    /// The time until the deadline.
+    left: u64,
+    patience: Option<u64>,
+    refused: bool,
+}
+
+/// The load: a process without processor time reads requests late, and is as late again when it
+/// sends them and passes on their answers. What is sent then is worked on after its caller has
+/// gone.
+#[rstest]
+#[case::in_time(Late { unread: 0, left: 1, patience: None, refused: false })]
+#[case::over(Late { unread: 0, left: 0, patience: None, refused: true })]
+#[case::over_for_long(Late { unread: 2_000, left: 0, patience: None, refused: true })]
+#[case::time_enough(Late { unread: 500, left: 1_600, patience: None, refused: false })]
+#[case::too_little_time(Late { unread: 500, left: 1_400, patience: None, refused: true })]
+#[case::patient_enough(Late { unread: 400, left: 9_000, patience: Some(2_000), refused: false })]
+#[case::not_patient_enough(Late { unread: 600, left: 9_000, patience: Some(2_000), refused: true })]
+#[case::patience_over(Late { unread: 2_500, left: 9_000, patience: Some(2_000), refused: true })]
+#[case::less_time_than_patience(Late { unread: 400, left: 1_000, patience: Some(2_000), refused: true })]
+fn what_its_caller_would_not_wait_for_is_refused_at_once(#[case] case: Late) {
+    let mut pool = pool(plain_seats(1));
+    let now = millis(10_000);
+    let ask = Ask {
+        deadline: now + millis(case.left),
+        unread: millis(case.unread),
+        patience: case.patience.map(millis),
+        ..ask(7)
+    };
+    let turned = pool.turn_away(now, &ask);
+    assert_eq!(
+        turned.map(|(cause, _)| cause),
+        case.refused.then_some(Refusal::Late)
+    );
+    assert_eq!(pool.active(), 0);
+    if let Some((_, retry)) = turned {
+        assert!(retry <= millis(case.left), "{retry:?}");
+        let standings = pool.standings(now, Scope::Router);
+        assert_eq!(standings[0].refused, [7]);
+    }
+}
+
 /// The load: all slots are taken, and the account that waits longest has had the most.
 #[test]
 fn the_account_that_has_had_the_least_is_next() {
