Send a request in the turn in which its connection is open

Cause: with a new connection to a target, a request waited for three tasks in turn: the connection's, its own and the connection's again.

The request is now handed over before the connection is asked whether it wants one, and the connection is driven once in the same turn; its own task goes on from there. A connection that is used again is as before.

--- a/src/shell/dial.rs
+++ b/src/shell/dial.rs
@@ -21,6 +21,7 @@
     Error,
     From, //
 };
+use futures_util::poll;
 use http_body_util::Full;
 use hyper::{
     HeaderMap,
@@ -28,6 +29,7 @@
     Response,
     body::Incoming,
     client::conn::http1::{
+        self,
         Builder,
         SendRequest, //
     }, //
@@ -94,6 +96,9 @@
 /// The sending side of a connection.
 pub(super) type Sender = SendRequest<Full<Bytes>>;
 
+/// The work of a connection.
+type Connection = http1::Connection<Stream, Full<Bytes>>;
+
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
@@ -127,26 +132,43 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Sender), DialError> {
         loop {
-            let reused = self.reuse();
-            let fresh = reused.is_none();
-            let mut sender = match reused {
-                Some(sender) => sender,
-                None => self.connect().await?,
+            let Some(mut sender) = self.reuse() else {
+                return self.open_new(request).await;
             };
-            if sender.ready().await.is_err() && !fresh {
+            if sender.ready().await.is_err() {
                 continue;
             }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, sender)),
                 Err(mut err) => match err.take_message() {
                     // The connection closed before any byte of the request was written.
-                    Some(unsent) if !fresh => request = unsent,
-                    _ => return Err(DialError::Http(err.into_error())),
+                    Some(unsent) => request = unsent,
+                    None => return Err(DialError::Http(err.into_error())),
                 },
             }
         }
     }
 
+    /// Sends a request on a new connection, before the connection's own task has its first turn.
+    async fn open_new(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Sender), DialError> {
+        let (mut sender, mut connection) = self.connect().await?;
+        let answer = sender.try_send_request(request);
+        if poll!(&mut connection).is_pending() {
+            spawn(async move {
+                // The request that breaks off reports the error.
+                let _ = connection.await;
+            })
+            .detach();
+        }
+        match answer.await {
+            Ok(response) => Ok((response, sender)),
+            Err(err) => Err(DialError::Http(err.into_error())),
+        }
+    }
+
     /// Returns the connection that was used last: the others may then time out.
     fn reuse(&self) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
@@ -167,22 +189,17 @@
         }
     }
 
-    async fn connect(&self) -> Result<Sender, DialError> {
+    async fn connect(&self) -> Result<(Sender, Connection), DialError> {
         let connect = std::pin::pin!(TcpStream::connect(self.address));
         let stream = within(self.limits.connect, connect)
             .await
             .ok_or(DialError::Slow)??;
         watch_silence(&stream)?;
-        let (sender, connection) = Builder::new()
+        let opened = Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER))
             .handshake(Stream::new(stream)?)
             .await?;
-        spawn(async move {
-            // The request that breaks off reports the error.
-            let _ = connection.await;
-        })
-        .detach();
-        Ok(sender)
+        Ok(opened)
     }
 }
 
@@ -221,3 +238,82 @@
     let limit = named.map(|limit| limit.saturating_sub(IDLE_MARGIN));
     limit.unwrap_or(DEFAULT_IDLE)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::{
+        future::poll_fn,
+        io::{
+            Read,
+            Write, //
+        },
+        net::TcpListener,
+        sync::{
+            Arc,
+            atomic::{
+                AtomicU32,
+                Ordering, //
+            }, //
+        },
+        task::Poll,
+        thread, //
+    };
+
+    use compio::runtime::Runtime;
+
+    use super::*;
+
+    /// The other tasks of a busy process, which are always ready, and the time of each of them.
+    const BUSY: u32 = 400;
+    const BUSY_TIME: Duration = Duration::from_millis(1);
+
+    /// An answer without a body.
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+    /// Accepts a connection and answers a request; returns how many tasks ran between the two.
+    fn answer(listener: TcpListener, ran: Arc<AtomicU32>) -> std::io::Result<u32> {
+        let (mut stream, _) = listener.accept()?;
+        let accepted = ran.load(Ordering::Relaxed);
+        assert!(stream.read(&mut [0; 1_024])? > 0);
+        let read = ran.load(Ordering::Relaxed);
+        stream.write_all(ANSWER)?;
+        Ok(read - accepted)
+    }
+
+    /// Keeps a runtime busy with tasks that are ready again at once.
+    fn keep_busy(ran: &Arc<AtomicU32>) {
+        for _ in 0..BUSY {
+            let ran = ran.clone();
+            let work = poll_fn(move |cx| {
+                thread::sleep(BUSY_TIME);
+                ran.fetch_add(1, Ordering::Relaxed);
+                cx.waker().wake_by_ref();
+                Poll::<()>::Pending
+            });
+            spawn(work).detach();
+        }
+    }
+
+    /// The load: a process without processor time. A request that waits for several turns after its
+    /// connection was opened is sent on when its caller has gone.
+    #[test]
+    fn a_new_connection_carries_its_request_in_the_turn_in_which_it_is_open() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound port");
+        let ran = Arc::new(AtomicU32::new(0));
+        let counted = ran.clone();
+        let target = thread::spawn(move || answer(listener, counted));
+        let connect = Duration::from_secs(2);
+        let connections = Connections::new(address, DialLimits { connect });
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            keep_busy(&ran);
+            let request = Request::new(Full::new(Bytes::new()));
+            let sent = spawn(async move { connections.open(request).await.is_ok() });
+            assert!(sent.await.expect("it ends"));
+        });
+        let waited = target.join().expect("the target ends").expect("a request");
+        // The rest of a round of 61 tasks, after which sockets are looked at, and one turn.
+        assert!(waited <= BUSY + BUSY / 2, "{waited} tasks ran before it");
+    }
+}
