Hang up on a target without waiting for its connection's turn

Cause: when a caller has gone, its own task ends, and the task of the connection to the target closes that one only in its next turn, which takes up to a second in a process without processor time. The target works on meanwhile.

The sending side of a connection now ends the connection when it is dropped, unless it is kept for further requests.

Ruled out, with a test that holds before and after: that a request is sent on which is read when its caller has closed the connection already (what_is_read_after_its_caller_has_gone_is_not_sent_on; hyper reads the socket first whenever a connection has its turn).

Test: a_target_is_hung_up_on_without_another_turn fails without the change.

--- a/src/shell/dial.rs
+++ b/src/shell/dial.rs
@@ -39,7 +39,10 @@
     TcpKeepalive, //
 };
 
-use super::stream::Stream;
+use super::stream::{
+    Hangup,
+    Stream, //
+};
 
 /// The size of a connection's read buffer, in bytes: some events of a stream.
 const READ_BUFFER: usize = 4 << 10;
@@ -93,8 +96,13 @@
     }
 }
 
-/// The sending side of a connection.
-pub(super) type Sender = SendRequest<Full<Bytes>>;
+/// The sending side of a connection, which ends with it: a peer whose answer nobody waits for is
+/// told so at once, also by a process that is late.
+#[derive(Debug)]
+pub(super) struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    _hangup: Hangup,
+}
 
 /// The work of a connection.
 type Connection = http1::Connection<Stream, Full<Bytes>>;
@@ -135,10 +143,10 @@
             let Some(mut sender) = self.reuse() else {
                 return self.open_new(request).await;
             };
-            if sender.ready().await.is_err() {
+            if sender.requests.ready().await.is_err() {
                 continue;
             }
-            match sender.try_send_request(request).await {
+            match sender.requests.try_send_request(request).await {
                 Ok(response) => return Ok((response, sender)),
                 Err(mut err) => match err.take_message() {
                     // The connection closed before any byte of the request was written.
@@ -155,7 +163,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Sender), DialError> {
         let (mut sender, mut connection) = self.connect().await?;
-        let answer = sender.try_send_request(request);
+        let answer = sender.requests.try_send_request(request);
         if poll!(&mut connection).is_pending() {
             spawn(async move {
                 // The request that breaks off reports the error.
@@ -173,7 +181,7 @@
     fn reuse(&self) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
-        idle.retain(|idle| !idle.sender.is_closed() && now < idle.until);
+        idle.retain(|idle| !idle.sender.requests.is_closed() && now < idle.until);
         idle.pop_back().map(|idle| idle.sender)
     }
 
@@ -183,7 +191,7 @@
         if idle.len() >= MAX_IDLE {
             idle.pop_front();
         }
-        if !sender.is_closed() {
+        if !sender.requests.is_closed() {
             let until = Instant::now() + idle_limit(headers);
             idle.push_back(Idle { sender, until });
         }
@@ -195,11 +203,17 @@
             .await
             .ok_or(DialError::Slow)??;
         watch_silence(&stream)?;
-        let opened = Builder::new()
+        let stream = Stream::new(stream)?;
+        let hangup = stream.hangup();
+        let (requests, connection) = Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER))
-            .handshake(Stream::new(stream)?)
+            .handshake(stream)
             .await?;
-        Ok(opened)
+        let sender = Sender {
+            requests,
+            _hangup: hangup,
+        };
+        Ok((sender, connection))
     }
 }
 
@@ -267,6 +281,10 @@
     const BUSY: u32 = 400;
     const BUSY_TIME: Duration = Duration::from_millis(1);
 
+    /// What the peer answers, and how long it then waits to be hung up on.
+    const BEGUN: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n";
+    const WAIT: Duration = Duration::from_secs(1);
+
     /// An answer without a body.
     const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
@@ -316,4 +334,30 @@
         // The rest of a round of 61 tasks, after which sockets are looked at, and one turn.
         assert!(waited <= BUSY + BUSY / 2, "{waited} tasks ran before it");
     }
+
+    /// The load: a process without processor time, in which the connection's own task has no turn
+    /// for long after its caller has gone. The target must not work on all the while.
+    #[test]
+    fn a_target_is_hung_up_on_without_another_turn() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound port");
+        let target = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let mut bytes = [0; 1_024];
+            assert!(stream.read(&mut bytes).expect("a request") > 0);
+            stream.write_all(BEGUN).expect("it is sent");
+            stream.set_read_timeout(Some(WAIT)).expect("a valid time");
+            stream.read(&mut bytes)
+        });
+        let connections = Connections::new(address, DialLimits { connect: WAIT });
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let request = Request::new(Full::new(Bytes::new()));
+            let (response, sender) = connections.open(request).await.expect("an answer");
+            drop(sender);
+            let read = target.join().expect("the target ends");
+            assert_eq!(read.expect("it is hung up on"), 0);
+            drop(response);
+        });
+    }
 }
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -9,8 +9,12 @@
         self,
         IoSlice, //
     },
+    net::Shutdown,
     pin::Pin,
-    rc::Rc,
+    rc::{
+        Rc,
+        Weak, //
+    },
     task::{
         Context,
         Poll,
@@ -63,7 +67,7 @@
 /// A connection without buffers of its own.
 #[derive(Debug)]
 pub(super) struct Stream {
-    socket: PollFd<Socket>,
+    socket: Rc<PollFd<Socket>>,
     /// The reads that have succeeded one after another.
     streak: u32,
     drained: Option<Drained>,
@@ -72,7 +76,7 @@
 impl Stream {
     /// Wraps a connection.
     pub(super) fn new(stream: TcpStream) -> io::Result<Self> {
-        let socket = stream.into_poll_fd()?;
+        let socket = Rc::new(stream.into_poll_fd()?);
         Ok(Self {
             socket,
             streak: 0,
@@ -80,6 +84,11 @@
         })
     }
 
+    /// Returns what ends the connection while its task still waits for its turn.
+    pub(super) fn hangup(&self) -> Hangup {
+        Hangup(Rc::downgrade(&self.socket))
+    }
+
     /// Notes from now on when there is nothing to read.
     pub(super) fn noting(mut self, drained: Drained) -> Self {
         self.drained = Some(drained);
@@ -87,6 +96,19 @@
     }
 }
 
+/// Ends a connection when it is dropped.
+#[derive(Debug)]
+pub(super) struct Hangup(Weak<PollFd<Socket>>);
+
+impl Drop for Hangup {
+    fn drop(&mut self) {
+        if let Some(socket) = self.0.upgrade() {
+            // A connection that the peer has ended needs no more.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 impl Read for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -142,7 +164,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.socket.shutdown(std::net::Shutdown::Write) {
+        match self.socket.shutdown(Shutdown::Write) {
             Err(err) if err.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
             result => Poll::Ready(result),
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -341,6 +341,39 @@
     assert!(given + took + SLACK >= left, "{given:?} after {took:?}");
 }
 
+struct Gone {
+    sent: &'static str,
+    /// Whether the connection has had a request before.
+    kept: bool,
+}
+
+/// The load: a gateway without processor time, which reads a request when its caller has closed
+/// the connection. It has not been sent on, and is not any more.
+#[rstest]
+#[case::read(Gone { sent: "GET /read/2 HTTP/1.1\r\ncredential: secret\r\nhost: a.example\r\n\r\n", kept: false })]
+#[case::kept(Gone { sent: "GET /read/2 HTTP/1.1\r\ncredential: secret\r\nhost: a.example\r\n\r\n", kept: true })]
+#[case::body(Gone { sent: "POST /save/2 HTTP/1.1\r\ncredential: secret\r\nhost: a.example\r\ncontent-length: 4\r\n\r\nbody", kept: false })]
+#[case::stream(Gone { sent: "GET /stream/2 HTTP/1.1\r\ncredential: secret\r\nhost: a.example\r\n\r\n", kept: true })]
+fn what_is_read_after_its_caller_has_gone_is_not_sent_on(#[case] case: Gone) {
+    let net = Net::start(1);
+    let gateway = &net.0.gateways[0];
+    let mut stream = TcpStream::connect(gateway.addresses.http).expect("it listens");
+    let before = if case.kept { 1 } else { 0 };
+    if case.kept {
+        let first = "GET /read/1 HTTP/1.1\r\ncredential: secret\r\nhost: a.example\r\n\r\n";
+        stream.write_all(first.as_bytes()).expect("it is sent");
+        assert!(stream.read(&mut [0; 4_096]).expect("an answer") > 0);
+        thread::sleep(Duration::from_millis(100));
+    }
+    gateway.hold(HELD);
+    thread::sleep(Duration::from_millis(50));
+    stream.write_all(case.sent.as_bytes()).expect("it is sent");
+    drop(stream);
+    thread::sleep(HELD + SLACK);
+    assert_eq!(net.runs(), before);
+    assert_eq!(net.status(0)["requests"], 0);
+}
+
 struct Leaving {
     path: &'static str,
     mode: Mode,
