Merge the budget that counts unread time

Brings in four changes against requests that are sent on for callers that have gone (GONE), and a guard that gives a connection back when its task ends in any way.

--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -42,6 +42,11 @@
 /// sums of them fit into 64 bits.
 const MAX_TOKENS: u64 = u32::MAX as u64;
 
+/// The objectives that callers wait for the next event of a stream.
+const PATIENCE: u32 = 4;
+/// The least time that they wait for it.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// The fields that only the system may set, so those of callers are dropped.
 const RESERVED: [&str; 8] = [
     "tenant",
@@ -145,6 +150,18 @@
     Some(tokens.min(MAX_TOKENS))
 }
 
+/// Returns how long a caller at least waits for the first event of a stream with an objective.
+///
+/// ```
+/// use std::time::Duration;
+/// use redwingyard::platform::patience;
+/// assert_eq!(patience(Duration::from_millis(600)), Duration::from_millis(2_400));
+/// assert_eq!(patience(Duration::from_millis(400)), Duration::from_secs(2));
+/// ```
+pub fn patience(objective: Duration) -> Duration {
+    (objective * PATIENCE).max(LEAST_PATIENCE)
+}
+
 /// Turns a caller's header fields into those for a target.
 ///
 /// # Panics
--- a/src/pool/memory.rs
+++ b/src/pool/memory.rs
@@ -70,14 +70,11 @@
         self.0.limit.saturating_sub(OWN_MEMORY) / CONNECTION_MEMORY
     }
 
-    /// Counts a connection that is taken.
-    pub fn open(&self) {
+    /// Counts a connection that is taken, until what is returned is dropped.
+    #[must_use]
+    pub fn open(&self) -> Opened {
         self.0.connections.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Counts a connection that has closed.
-    pub fn close(&self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+        Opened(self.clone())
     }
 
     /// Returns the connections that are open.
@@ -141,6 +138,16 @@
     }
 }
 
+/// A connection that is open.
+#[derive(Debug)]
+pub struct Opened(Memory);
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.0.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Room that is promised to a body or an answer, until this is dropped.
 #[derive(Debug)]
 pub struct Holding {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -49,7 +49,8 @@
 pub use member::Load;
 pub use memory::{
     Holding,
-    Memory, //
+    Memory,
+    Opened, //
 };
 pub use model::{
     Fault,
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -45,6 +45,7 @@
     }, //
 };
 use crate::{
+    ids::Time,
     platform::{
         self,
         Envelope, //
@@ -77,6 +78,9 @@
 /// The time that reading it may take: the `lingering_timeout` of today's web servers.
 const DISCARD_LIMIT: Duration = Duration::from_secs(5);
 
+/// The least time that a body may take: it lay unread with its head.
+const LEAST_BODY_TIME: Duration = Duration::from_millis(100);
+
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
@@ -86,10 +90,14 @@
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
-/// Answers one request of a caller.
-pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
+/// Answers one request of a caller, which arrived at a time.
+pub(super) async fn handle(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    arrived: Time,
+) -> Response<Body> {
     let (head, mut body) = request.into_parts();
-    match admit(&process, head, &mut body).await {
+    match admit(&process, head, &mut body, arrived).await {
         Ok(call) => call.run().await,
         Err(response) => {
             discard(body);
@@ -102,8 +110,9 @@
     process: &Rc<Process>,
     head: request::Parts,
     body: &mut Incoming,
+    arrived: Time,
 ) -> Result<Call, Rejection> {
-    let arrived = process.clock.now();
+    let unread = process.clock.now().saturating_sub(arrived);
     process.sync();
     let rules = process.rules();
     let envelope = platform::envelope(&head.headers);
@@ -124,14 +133,9 @@
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
     let most = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY);
-    let body = collect(
-        process,
-        &envelope,
-        body,
-        most,
-        deadline.saturating_sub(arrived),
-    )
-    .await?;
+    let left = deadline.saturating_sub(process.clock.now());
+    let limit = left.max(LEAST_BODY_TIME);
+    let body = collect(process, &envelope, body, most, limit).await?;
     let ask = Ask {
         account: account.as_deref().map_or(0, crate::ids::id),
         service: route.service(fastrand::u64(..)),
@@ -139,6 +143,8 @@
         attempts: route.attempts,
         objective: route.objective(),
         deadline,
+        unread,
+        patience: route.stream.then(|| platform::patience(route.objective())),
         prompt: envelope.prompt,
     };
     if let Some((cause, retry)) = process.turn_away(&ask) {
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -8,6 +8,7 @@
     convert::Infallible,
     net::SocketAddr,
     rc::Rc,
+    task::Poll,
     time::Duration, //
 };
 
@@ -21,9 +22,12 @@
 };
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
-use futures_util::future::{
-    Either,
-    select, //
+use futures_util::{
+    future::{
+        Either,
+        select, //
+    },
+    poll, //
 };
 use hyper::{
     Request,
@@ -58,7 +62,10 @@
     shell::{
         StartError,
         admin,
-        stream::Stream, //
+        stream::{
+            Drained,
+            Stream, //
+        }, //
     }, //
 };
 
@@ -253,21 +260,32 @@
 }
 
 async fn accept(process: Rc<Process>, door: Rc<Door>, listener: TcpListener) {
+    // When no caller waited to be let in; the time for which the door was full is not known.
+    let mut drained = process.clock.now();
     loop {
         while door.is_full() {
             process.full.set(true);
             sleep(TICK_INTERVAL).await;
         }
         process.full.set(false);
-        match listener.accept().await {
+        let mut accept = std::pin::pin!(listener.accept());
+        let accepted = match poll!(accept.as_mut()) {
+            Poll::Ready(accepted) => accepted,
+            Poll::Pending => {
+                drained = process.clock.now();
+                accept.await
+            }
+        };
+        match accepted {
             Ok(_) if door.closed.get() => return,
             Ok((stream, _)) => {
                 let process = process.clone();
                 let door = door.clone();
-                door.memory.open();
+                let opened = door.memory.open();
+                let drained = Drained::new(process.clock.clone(), process.arrival(drained));
                 spawn(async move {
-                    converse(process, &door, stream).await;
-                    door.memory.close();
+                    converse(process, &door, stream, drained).await;
+                    drop(opened);
                 })
                 .detach();
             }
@@ -280,18 +298,19 @@
 }
 
 /// Serves one connection of a caller until it ends.
-async fn converse(process: Rc<Process>, door: &Rc<Door>, stream: TcpStream) {
+async fn converse(process: Rc<Process>, door: &Rc<Door>, stream: TcpStream, drained: Drained) {
     let _ = stream.set_nodelay(true);
     let stream = match Stream::new(stream) {
-        Ok(stream) => stream,
+        Ok(stream) => stream.noting(drained.clone()),
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let limit = process.rules().limit(Limit::HeaderBytes);
     let most = limit.map_or(MAX_HEAD, |limit| limit as usize);
     let service = service_fn(|request: Request<Incoming>| {
         let (process, door) = (process.clone(), door.clone());
+        let arrived = process.arrival(drained.at());
         async move {
-            let mut response = front::handle(process.clone(), request).await;
+            let mut response = front::handle(process.clone(), request, arrived).await;
             // Those that are served come back at once, over the same connection.
             let crowded = door.is_crowded() && !response.status().is_success();
             if crowded || process.is_stopping() {
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -4,11 +4,17 @@
 //! thousands of connections in little memory, so here hyper's own buffers are the only ones.
 
 use std::{
+    cell::Cell,
     io::{
         self,
         IoSlice, //
     },
+    net::Shutdown,
     pin::Pin,
+    rc::{
+        Rc,
+        Weak, //
+    },
     task::{
         Context,
         Poll,
@@ -27,23 +33,79 @@
 };
 use socket2::Socket;
 
+use super::Clock;
+use crate::ids::Time;
+
 /// The reads that succeed one after another before other tasks have their turn: a peer that sends
 /// without end must not keep the process to itself.
 const MAX_STREAK: u32 = 16;
 
+/// When a connection was last found to have nothing to read.
+#[derive(Clone, Debug)]
+pub(super) struct Drained {
+    clock: Clock,
+    at: Rc<Cell<Time>>,
+}
+
+impl Drained {
+    /// Starts with the time before which nothing can have arrived.
+    pub(super) fn new(clock: Clock, at: Time) -> Self {
+        let at = Rc::new(Cell::new(at));
+        Self { clock, at }
+    }
+
+    /// Returns the time.
+    pub(super) fn at(&self) -> Time {
+        self.at.get()
+    }
+
+    fn note(&self) {
+        self.at.set(self.clock.now());
+    }
+}
+
 /// A connection without buffers of its own.
 #[derive(Debug)]
 pub(super) struct Stream {
-    socket: PollFd<Socket>,
+    socket: Rc<PollFd<Socket>>,
     /// The reads that have succeeded one after another.
     streak: u32,
+    drained: Option<Drained>,
 }
 
 impl Stream {
     /// Wraps a connection.
     pub(super) fn new(stream: TcpStream) -> io::Result<Self> {
-        let socket = stream.into_poll_fd()?;
-        Ok(Self { socket, streak: 0 })
+        let socket = Rc::new(stream.into_poll_fd()?);
+        Ok(Self {
+            socket,
+            streak: 0,
+            drained: None,
+        })
+    }
+
+    /// Returns what ends the connection while its task still waits for its turn.
+    pub(super) fn hangup(&self) -> Hangup {
+        Hangup(Rc::downgrade(&self.socket))
+    }
+
+    /// Notes from now on when there is nothing to read.
+    pub(super) fn noting(mut self, drained: Drained) -> Self {
+        self.drained = Some(drained);
+        self
+    }
+}
+
+/// Ends a connection when it is dropped.
+#[derive(Debug)]
+pub(super) struct Hangup(Weak<PollFd<Socket>>);
+
+impl Drop for Hangup {
+    fn drop(&mut self) {
+        if let Some(socket) = self.0.upgrade() {
+            // A connection that the peer has ended needs no more.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
     }
 }
 
@@ -65,6 +127,9 @@
             Poll::Ready(_) => self.streak + 1,
             Poll::Pending => 0,
         };
+        if let (Poll::Pending, Some(drained)) = (&polled, &self.drained) {
+            drained.note();
+        }
         let read = ready!(polled)?;
         // SAFETY: `recv` has initialized that many bytes.
         unsafe { buf.advance(read) };
@@ -99,7 +164,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.socket.shutdown(std::net::Shutdown::Write) {
+        match self.socket.shutdown(Shutdown::Write) {
             Err(err) if err.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
             result => Poll::Ready(result),
         }
