Keep a router within its memory, and end bodies that do not arrive

Callers would see: connections that close without an answer when the system ends a router beyond its memory, and no answer at all to a body that stops half-way. The cause is that of the gateway's fault: connections were bounded by nothing, bodies were read whole whatever memory was left, and neither a body nor a head had a time-out. Change: routers take memory_mb and count connections and bodies with pool::Memory. A body without room is refused as no-memory, not run, with Retry-After; one that is not there within the request's own limit is answered with 408 slow-body; a head or an idle connection has 60 s, as at gateways. The reading of a body, the measuring of the process and the closing of crowded connections are one copy for both roles now (shell/intake.rs, shell/memory.rs); what gateways do is unchanged. Why it works: room is promised before it is taken. Tests: both roles share tests/memory.rs, whose callers now have 8 s together rather than each, and every answer must say that the request has not run. The 60 s of an idle connection have no test. Ruled out: a smaller largest head, since callers may send 64 KB today.

--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -156,6 +156,7 @@
         queues: Default::default(),
         deadline_ms: 30_000,
         body_bytes: 1 << 20,
+        memory_mb: None,
         drain_ms: 10_000,
     }
 }
--- a/src/pool/memory.rs
+++ b/src/pool/memory.rs
@@ -55,6 +55,10 @@
 }
 
 impl Memory {
+    /// How many times more connections are taken at all than are kept after a refusal: some of
+    /// them are about to close.
+    pub const FULL_PART: usize = 2;
+
     /// Creates the account of a process that may take so many bytes.
     pub fn new(limit: Option<usize>) -> Self {
         Self(Arc::new(State {
@@ -90,6 +94,17 @@
         self.0.held.load(Ordering::Relaxed)
     }
 
+    /// Returns whether idle connections would keep new callers out, where there are to be no more
+    /// than `most` of them.
+    pub fn is_crowded(&self, most: usize) -> bool {
+        self.connections() > most || self.is_short()
+    }
+
+    /// Returns whether no further caller can be borne.
+    pub fn is_full(&self, most: usize) -> bool {
+        self.connections() > most.saturating_mul(Self::FULL_PART) || !self.has_room()
+    }
+
     /// Returns whether a further connection has room.
     pub fn has_room(&self) -> bool {
         let few = self.connections() < LEAST_CONNECTIONS;
--- a/src/router/reply.rs
+++ b/src/router/reply.rs
@@ -39,6 +39,9 @@
     /// The wait would be longer than the deadline.
     #[display("overload")]
     Overload,
+    /// The router has no memory for the body.
+    #[display("no-memory")]
+    NoMemory,
     /// The router is shutting down.
     #[display("draining")]
     Draining,
@@ -84,7 +87,7 @@
     pub fn status(&self) -> u16 {
         match self.cause {
             Cause::QueueFull => 429,
-            Cause::Deadline | Cause::Overload | Cause::Draining => 503,
+            Cause::Deadline | Cause::Overload | Cause::NoMemory | Cause::Draining => 503,
             Cause::TargetLost => 502,
             Cause::Timeout => 504,
             Cause::KeyReused => 422,
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -78,6 +78,9 @@
     /// The largest body of a request, in bytes.
     #[serde(default = "default_body")]
     pub body_bytes: usize,
+    /// The memory that the process may take, in MB; it bounds the callers' connections and bodies.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// The longest time that a graceful shutdown takes, in milliseconds.
     #[serde(default = "default_drain")]
     pub drain_ms: u64,
@@ -143,6 +146,9 @@
             let most = crate::wire::MAX_FRAME / 2;
             return Some(("body_bytes", format!("must be at most {most}")));
         }
+        if self.memory_mb == Some(0) {
+            return Some(("memory_mb", "must be at least 1".to_owned()));
+        }
         if self.queues.total < self.queues.account {
             return Some(("queues", "\"total\" is less than \"account\"".to_owned()));
         }
--- a/src/shell/front.rs
+++ b/src/shell/front.rs
@@ -8,11 +8,6 @@
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::{
     HeaderMap,
     Request,
@@ -37,6 +32,10 @@
         forward,
         restore, //
     },
+    intake::{
+        Bound,
+        take, //
+    },
     problem,
     router::Process, //
 };
@@ -47,6 +46,9 @@
     },
     router::{
         Ask,
+        Cause,
+        Ran,
+        Refusal,
         Reply, //
     },
     wire::{
@@ -66,6 +68,9 @@
 
 const MAX_KEY: usize = 256;
 
+/// When to come back to a router that has no memory for a body: the least that `Retry-After` says.
+const ROOM_RETRY: Duration = Duration::from_secs(1);
+
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
@@ -97,7 +102,7 @@
         .write_entry(service, parts.method.as_str(), rest)
         .map(|entry| entry.line);
     let limit = limit(process, &parts.headers)?;
-    let body = collect(process, body).await?;
+    let body = collect(process, account, body, limit).await?;
     let head = Head {
         status: 0,
         method: parts.method.as_str().to_owned(),
@@ -175,20 +180,37 @@
     }
 }
 
-async fn collect(process: &Process, body: Incoming) -> Result<Bytes, Rejection> {
-    let limited = Limited::new(body, process.settings.body_bytes);
-    match limited.collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => {
-            let detail = "the body is larger than this router takes";
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(reject(status, "body-too-large", detail))
-        }
-        Err(_) => {
-            let detail = "the body broke off";
-            Err(reject(StatusCode::BAD_REQUEST, "bad-body", detail))
-        }
-    }
+/// Reads a body whole.
+async fn collect(
+    process: &Process,
+    account: Account,
+    body: Incoming,
+    limit: Duration,
+) -> Result<Bytes, Rejection> {
+    let bound = Bound {
+        bytes: process.settings.body_bytes,
+        name: "this router takes",
+    };
+    let unroomed = || unroomed(process, account);
+    take(&process.memory, body, bound, limit, unroomed).await
+}
+
+/// Refuses a request for whose body there is no memory.
+#[cold]
+fn unroomed(process: &Process, account: Account) -> Rejection {
+    let refusal = Refusal {
+        cause: Cause::NoMemory,
+        ran: Ran::No,
+        retry: Some(ROOM_RETRY),
+    };
+    log::info!(
+        "event=reject account={} cause={} held_kb={} connections={}",
+        process.rules().name(account),
+        refusal.cause,
+        process.memory.held() >> 10,
+        process.memory.connections(),
+    );
+    Box::new(problem::refuse(&refusal))
 }
 
 /// Returns a request's idempotency key, bound to its account and service.
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -34,7 +34,6 @@
 
 use super::{
     call::Call,
-    memory::hold,
     process::Order, //
 };
 use crate::{
@@ -49,7 +48,8 @@
             Connections,
             Sender, //
         },
-        fields::strip, //
+        fields::strip,
+        memory::hold, //
     }, //
 };
 
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -1,30 +1,17 @@
 //! The callers' interface of a gateway: from a request's head to what the pool decides on.
 
 use std::{
-    error::Error,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use compio::time::timeout;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
+use bytes::Bytes;
 use hyper::{
     Request,
     Response,
     StatusCode,
-    body::{
-        Body as _,
-        Incoming, //
-    },
+    body::Incoming,
     header::HOST,
     http::request, //
 };
@@ -34,7 +21,6 @@
         Call,
         CallerAsk, //
     },
-    memory::hold,
     process::Process,
     refusal::{
         FAULT_RETRY,
@@ -48,7 +34,6 @@
     },
     pool::{
         Ask,
-        Memory,
         Refusal, //
     },
     rules::{
@@ -60,6 +45,10 @@
     },
     shell::{
         body::Body,
+        intake::{
+            Bound,
+            take, //
+        },
         problem, //
     }, //
 };
@@ -70,12 +59,6 @@
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
-/// How many times its size a buffer may take while it grows, since it is copied then.
-const GROWTH: usize = 2;
-
-/// The time for which the rest of a body is read that is not kept: some round trips.
-const DISCARD_LIMIT: Duration = Duration::from_millis(500);
-
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
@@ -187,14 +170,6 @@
     }
 }
 
-/// Why a body was not taken in.
-enum Untaken {
-    /// It broke off, or is larger than the rules allow.
-    Failed(Box<dyn Error + Send + Sync>),
-    /// There is no memory for it.
-    NoRoom,
-}
-
 /// Reads a body whole.
 async fn collect(
     process: &Process,
@@ -203,56 +178,12 @@
     most: u64,
     limit: Duration,
 ) -> Result<Bytes, Rejection> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let most = usize::try_from(most).unwrap_or(usize::MAX);
-    let mut body = Limited::new(body, most);
-    match timeout(limit, take(&process.memory, &mut body)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(Untaken::NoRoom)) => {
-            discard(body, limit).await;
-            Err(unroomed(process, envelope))
-        }
-        Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => {
-            let detail = "the body is larger than the rules allow";
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(reject(status, "body-too-large", detail))
-        }
-        Ok(Err(Untaken::Failed(_))) => {
-            let detail = "the body broke off";
-            Err(reject(StatusCode::BAD_REQUEST, "bad-body", detail))
-        }
-        Err(_) => {
-            let detail = "the body did not arrive in time";
-            Err(reject(StatusCode::REQUEST_TIMEOUT, "slow-body", detail))
-        }
-    }
-}
-
-/// Reads a body whole where there is memory for it, known from its length if it has one.
-async fn take(memory: &Memory, body: &mut Limited<Incoming>) -> Result<Bytes, Untaken> {
-    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
-    let mut whole = BytesMut::with_capacity(expected.min(MAX_BODY as usize));
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
-            continue;
-        };
-        let size = whole.len() + data.len();
-        if size > expected && !holding.reach(size * GROWTH) {
-            return Err(Untaken::NoRoom);
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(hold(whole.freeze(), holding))
-}
-
-/// Reads the rest of a body without keeping it, so that its sender gets to read the answer.
-async fn discard(mut body: Limited<Incoming>, limit: Duration) {
-    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-    // A sender that is slower than that may miss the answer.
-    let _ = timeout(DISCARD_LIMIT.min(limit), rest).await;
+    let bound = Bound {
+        bytes: usize::try_from(most).unwrap_or(usize::MAX),
+        name: "the rules allow",
+    };
+    let unroomed = || unroomed(process, envelope);
+    take(&process.memory, body, bound, limit, unroomed).await
 }
 
 /// Refuses a request for whose body there is no memory.
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -7,7 +7,6 @@
 mod front;
 mod inbox;
 mod log;
-mod memory;
 mod metrics;
 mod peers;
 mod process;
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -21,7 +21,6 @@
 use super::{
     inbox::Inbox,
     log::Line,
-    memory::resident,
     metrics::Metrics,
     peers::Peers,
     strain::Strain, //
@@ -57,6 +56,10 @@
         dial::{
             Connections,
             DialLimits, //
+        },
+        memory::{
+            self,
+            MEASURE_INTERVAL, //
         }, //
     }, //
 };
@@ -71,10 +74,6 @@
 /// The delay of a tick from which on this process is late: a part of the shortest objective.
 const LATE: Duration = Duration::from_millis(60);
 
-/// The interval at which the process's memory is measured: a part of the second or so in which a
-/// crowd of callers arrives.
-const MEASURE_INTERVAL: Duration = Duration::from_millis(200);
-
 /// What confirmed rules may be younger than the limit for keys: the time in which a request
 /// may have been on its way, and what the platform's clock may differ.
 const TRUST_MARGIN: Duration = Duration::from_millis(400);
@@ -305,23 +304,9 @@
             return;
         }
         self.measured.set(now);
-        let taken = match resident() {
-            Ok(taken) => taken,
-            Err(err) => return log::debug!("event=memory-unknown error=\"{err}\""),
-        };
-        self.metrics.memory.set(taken as i64);
-        let Some(short) = self.memory.measure(taken) else {
-            return;
-        };
-        let line = format!(
-            "taken_kb={} connections={} requests={}",
-            taken >> 10,
-            self.memory.connections(),
-            self.pool.borrow().active(),
-        );
-        match short {
-            true => log::warn!("event=memory-short {line}"),
-            false => log::info!("event=memory-eased {line}"),
+        let requests = self.pool.borrow().active();
+        if let Some(taken) = memory::measure(&self.memory, requests) {
+            self.metrics.memory.set(taken as i64);
         }
     }
 
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -29,17 +29,9 @@
     Request,
     StatusCode,
     body::Incoming,
-    header::{
-        CONNECTION,
-        HeaderValue, //
-    },
     server::conn::http1,
     service::service_fn, //
 };
-use rustix::process::{
-    Resource,
-    getrlimit, //
-};
 use serde::Serialize;
 
 use super::{
@@ -58,6 +50,11 @@
     shell::{
         StartError,
         admin,
+        intake::IDLE_LIMIT,
+        memory::{
+            most_connections,
+            part, //
+        },
         stream::Stream, //
     }, //
 };
@@ -69,20 +66,9 @@
 /// The time that is kept at the end of a stop for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
-/// How many more than [`Door::most`] connections are taken at all: some of them are about to close.
-const FULL_PART: usize = 2;
-
-/// The part of the descriptors that callers' connections may take; the rest is for targets,
-/// and for callers that come while others are idle.
-const CALLERS_PART: f64 = 0.7;
-
 /// The largest head where no rule sets a limit, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
-/// The time that a connection may be idle, or take for a head, where no rule sets a limit: that
-/// of today's large load balancers.
-const IDLE_LIMIT: Duration = Duration::from_secs(60);
-
 /// The least read buffer that hyper takes, in bytes.
 const LEAST_BUFFER: usize = 8 << 10;
 
@@ -118,26 +104,12 @@
         }
     }
 
-    /// Returns whether idle connections would keep new callers out.
-    fn is_crowded(&self) -> bool {
-        self.memory.connections() > self.most || self.memory.is_short()
-    }
-
     /// Returns whether no further caller can be borne.
     fn is_full(&self) -> bool {
-        let connections = self.memory.connections();
-        connections > self.most.saturating_mul(FULL_PART) || !self.memory.has_room()
+        self.memory.is_full(self.most)
     }
 }
 
-/// Returns the callers' connections that leave room for those to targets, and that the memory
-/// bears.
-fn most_connections(memory: &Memory) -> usize {
-    let limit = getrlimit(Resource::Nofile).current;
-    let files = limit.map_or(usize::MAX, |limit| (limit as f64 * CALLERS_PART) as usize);
-    files.min(memory.most_connections() / FULL_PART)
-}
-
 /// What `redwingyard status` prints of a gateway.
 #[derive(Serialize)]
 struct Status {
@@ -267,11 +239,7 @@
         let (process, door) = (process.clone(), door.clone());
         async move {
             let mut response = front::handle(process, request).await;
-            // Those that are served come back at once, over the same connection.
-            if door.is_crowded() && !response.status().is_success() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
+            part(&door.memory, door.most, &mut response);
             Ok::<_, Infallible>(response)
         }
     });
--- /dev/null
+++ b/src/shell/intake.rs
@@ -0,0 +1,126 @@
+//! How what callers send is taken in.
+
+use std::{
+    error::Error,
+    time::Duration, //
+};
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use compio::time::timeout;
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::{
+    Response,
+    StatusCode,
+    body::{
+        Body as _,
+        Incoming, //
+    }, //
+};
+
+use super::{
+    body::Body,
+    memory::hold,
+    problem::reject, //
+};
+use crate::pool::Memory;
+
+/// The time that a connection may be idle, or take for a head, where no rule sets a limit: that
+/// of today's large load balancers.
+pub(super) const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// The most that is set aside at once for a body, in bytes: the largest one where no rule sets a
+/// limit.
+const MAX_START: usize = 4 << 20;
+
+/// How many times its size a buffer may take while it grows, since it is copied then.
+const GROWTH: usize = 2;
+
+/// The time for which the rest of a body is read that is not kept: some round trips.
+const DISCARD_LIMIT: Duration = Duration::from_millis(500);
+
+/// How large a body may be.
+pub(super) struct Bound {
+    pub(super) bytes: usize,
+    /// What sets the bound, as callers are told.
+    pub(super) name: &'static str,
+}
+
+/// A refusal before a request is queued.
+type Rejection = Box<Response<Body>>;
+
+/// Why a body was not taken in.
+enum Untaken {
+    /// It broke off, or is larger than its bound.
+    Failed(Box<dyn Error + Send + Sync>),
+    /// There is no memory for it.
+    NoRoom,
+}
+
+/// Reads a body whole; refuses the request with `unroomed` where there is no memory for it.
+pub(super) async fn take(
+    memory: &Memory,
+    body: Incoming,
+    bound: Bound,
+    limit: Duration,
+    unroomed: impl FnOnce() -> Rejection,
+) -> Result<Bytes, Rejection> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let mut body = Limited::new(body, bound.bytes);
+    let (status, title, detail) = match timeout(limit, read(memory, &mut body)).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(Untaken::NoRoom)) => {
+            discard(body, limit).await;
+            return Err(unroomed());
+        }
+        Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body-too-large",
+            format!("the body is larger than {}", bound.name),
+        ),
+        Ok(Err(Untaken::Failed(_))) => (
+            StatusCode::BAD_REQUEST,
+            "bad-body",
+            "the body broke off".to_owned(),
+        ),
+        Err(_) => (
+            StatusCode::REQUEST_TIMEOUT,
+            "slow-body",
+            "the body did not arrive in time".to_owned(),
+        ),
+    };
+    Err(Box::new(reject(status, title, &detail)))
+}
+
+/// Reads a body, whose length is promised room at once where it is known.
+async fn read(memory: &Memory, body: &mut Limited<Incoming>) -> Result<Bytes, Untaken> {
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
+    let mut whole = BytesMut::with_capacity(expected.min(MAX_START));
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
+            continue;
+        };
+        let size = whole.len() + data.len();
+        if size > expected && !holding.reach(size * GROWTH) {
+            return Err(Untaken::NoRoom);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(hold(whole.freeze(), holding))
+}
+
+/// Reads the rest of a body without keeping it, so that its sender gets to read the answer.
+async fn discard(mut body: Limited<Incoming>, limit: Duration) {
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A sender that is slower than that may miss the answer.
+    let _ = timeout(DISCARD_LIMIT.min(limit), rest).await;
+}
--- a/src/shell/problem.rs
+++ b/src/shell/problem.rs
@@ -75,6 +75,7 @@
         Cause::QueueFull => "too many requests of this account wait",
         Cause::Deadline => "no target was free before the deadline",
         Cause::Overload => "the wait would exceed the deadline",
+        Cause::NoMemory => "this router has no memory for the body now",
         Cause::Draining => "this router is shutting down",
         Cause::TargetLost => "the target was lost while the request may have run",
         Cause::Timeout => "the target did not answer before the deadline",
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -13,12 +13,15 @@
 };
 
 use compio::{
-    net::TcpListener,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     quic::Endpoint,
     runtime::spawn,
     time::sleep, //
 };
-use cyper_core::HyperStream;
+use cyper_core::CompioTimer;
 use derive_more::{
     Display,
     Error,
@@ -45,6 +48,7 @@
         Governed,
         Governor, //
     },
+    intake::IDLE_LIMIT,
     link::{
         self,
         Context,
@@ -52,7 +56,12 @@
         Link,
         Links, //
     },
+    memory::{
+        self,
+        MEASURE_INTERVAL, //
+    },
     platform::Watch,
+    stream::Stream,
     tls, //
 };
 use crate::{
@@ -64,6 +73,7 @@
         id, //
     },
     member,
+    pool::Memory,
     router::{
         Ask,
         Input,
@@ -91,6 +101,10 @@
 /// The largest head of a request, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
+/// The most that is read at once from a caller's connection, in bytes: the least buffer that hyper
+/// takes.
+const READ_PART: usize = 8 << 10;
+
 /// Why a process could not start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -122,6 +136,7 @@
     peers: Links<ids::Router>,
     drained: RefCell<Vec<futures_channel::oneshot::Sender<()>>>,
     stopping: std::cell::Cell<bool>,
+    pub(super) memory: Memory,
 }
 
 /// A peer as the status page knows it.
@@ -275,6 +290,7 @@
         let (http_address, admin_address) = (http.local_addr()?, admin.local_addr()?);
         let rules = watch(&settings.platform.rules)?;
         let vms = watch(&settings.platform.vms)?;
+        let memory = Memory::new(settings.memory_mb.map(|limit| limit << 20));
         let process = Rc::new(Process {
             me: id(&settings.name),
             settings,
@@ -290,6 +306,7 @@
             peers: Links::new(),
             drained: RefCell::default(),
             stopping: std::cell::Cell::new(false),
+            memory,
         });
         log::info!(
             "event=start role=router name={} domain={} incarnation={incarnation:x} http={http_address} \
@@ -302,6 +319,7 @@
         spawn(serve_http(process.clone(), http)).detach();
         spawn(admin::serve_router(process.clone(), admin)).detach();
         spawn(tick(process.clone())).detach();
+        spawn(measure(process.clone())).detach();
         spawn(keep_parent(process.clone(), dialer, client)).detach();
         spawn(read_rules(process.clone(), rules)).detach();
         spawn(read_vms(process.clone(), vms)).detach();
@@ -363,6 +381,15 @@
     }
 }
 
+/// Keeps noting how much memory this process takes.
+async fn measure(process: Rc<Process>) {
+    loop {
+        sleep(MEASURE_INTERVAL).await;
+        let requests = process.callers.borrow().len();
+        memory::measure(&process.memory, requests);
+    }
+}
+
 fn context(process: &Rc<Process>) -> Context {
     let hello = process.clone();
     Context {
@@ -504,26 +531,48 @@
 }
 
 async fn serve_http(process: Rc<Process>, listener: TcpListener) {
+    let most = memory::most_connections(&process.memory);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        while process.memory.is_full(most) {
             sleep(TICK_INTERVAL).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let process = process.clone();
-        spawn(async move {
-            let service = service_fn(|request| {
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
                 let process = process.clone();
-                async move { Ok::<_, std::convert::Infallible>(front::handle(process, request).await) }
-            });
-            let connection = http1::Builder::new()
-                .max_buf_size(MAX_HEAD)
-                .timer(cyper_core::CompioTimer)
-                .serve_connection(HyperStream::new_plain(stream), service);
-            if let Err(err) = connection.await {
-                log::debug!("event=caller-connection error=\"{err}\"");
+                process.memory.open();
+                spawn(async move {
+                    converse(&process, most, stream).await;
+                    process.memory.close();
+                })
+                .detach();
             }
-        })
-        .detach();
+            Err(err) => {
+                log::warn!("event=accept-failed error=\"{err}\"");
+                sleep(TICK_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of a caller until it ends.
+async fn converse(process: &Rc<Process>, most: usize, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let stream = match Stream::new(stream) {
+        Ok(stream) => stream.by_parts(READ_PART),
+        Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
+    };
+    let service = service_fn(|request| async move {
+        let mut response = front::handle(process.clone(), request).await;
+        memory::part(&process.memory, most, &mut response);
+        Ok::<_, std::convert::Infallible>(response)
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .timer(CompioTimer)
+        // It also counts the time before a head begins.
+        .header_read_timeout(IDLE_LIMIT)
+        .serve_connection(stream, service);
+    if let Err(err) = connection.await {
+        log::debug!("event=caller-connection error=\"{err}\"");
     }
 }
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -37,13 +37,25 @@
     socket: PollFd<Socket>,
     /// The reads that have succeeded one after another.
     streak: u32,
+    /// The most bytes of one read.
+    most: usize,
 }
 
 impl Stream {
     /// Wraps a connection.
     pub(super) fn new(stream: TcpStream) -> io::Result<Self> {
         let socket = stream.into_poll_fd()?;
-        Ok(Self { socket, streak: 0 })
+        Ok(Self {
+            socket,
+            streak: 0,
+            most: usize::MAX,
+        })
+    }
+
+    /// Takes at most so many bytes with one read: hyper's buffer grows with what a read brings, up
+    /// to the largest head, and would do so for each body.
+    pub(super) fn by_parts(self, most: usize) -> Self {
+        Self { most, ..self }
     }
 }
 
@@ -60,6 +72,8 @@
         }
         // SAFETY: `recv` only writes to the buffer, and never makes it uninitialized.
         let space = unsafe { buf.as_mut() };
+        let most = self.most.min(space.len());
+        let space = &mut space[..most];
         let polled = self.socket.poll_read_with(cx, |socket| socket.recv(space));
         self.streak = match polled {
             Poll::Ready(_) => self.streak + 1,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -118,7 +118,7 @@
     change: ",\n  \"queue\": 1",
     error: "line 6 column 9: unknown field `queue`, expected one of `name`, `domain`, `http`, \
             `link`, `admin`, `keys`, `platform`, `account_header`, `tokens`, `queues`, \
-            `deadline_ms`, `body_bytes`, `drain_ms`",
+            `deadline_ms`, `body_bytes`, `memory_mb`, `drain_ms`",
 })]
 #[case::kind(Settings {
     change: ",\n  \"deadline_ms\": \"x\"",
@@ -128,6 +128,10 @@
     change: ",\n  \"deadline_ms\": 0",
     error: "line 6 column 3: field `deadline_ms` must be at least 1",
 })]
+#[case::no_memory(Settings {
+    change: ",\n  \"memory_mb\": 0",
+    error: "line 6 column 3: field `memory_mb` must be at least 1",
+})]
 #[case::contradiction(Settings {
     change: ",\n  \"queues\": { \"account\": 9, \"total\": 3 }",
     error: "line 6 column 3: field `queues` \"total\" is less than \"account\"",
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -1,4 +1,4 @@
-//! A gateway as a process of its own on a VM with little memory.
+//! A process that takes callers, on a VM with little memory: a gateway, and a router.
 
 mod net;
 #[path = "../examples/standin/mod.rs"]
@@ -23,48 +23,91 @@
         Stdio, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use net::{
     Net,
     eventually, //
 };
-use redwingyard::settings::GatewaySettings;
+use redwingyard::settings::{
+    GatewaySettings,
+    RouterSettings, //
+};
 use rstest::rstest;
+use serde::Serialize;
+use standin::{
+    fleet::{
+        self,
+        Handle,
+        Surroundings,
+        on_thread, //
+    },
+    plain::{
+        self,
+        Writes, //
+    }, //
+};
 
 /// The memory of the VM, in MB.
 const MEMORY: usize = 64;
 
-/// How long a caller waits for an answer: longer than any request may take.
+/// How long the callers wait for their answers: longer than any request may take.
 const PATIENCE: Duration = Duration::from_secs(8);
 
-/// A gateway that runs as a process of its own.
+/// The least time that an answer is looked for, once that is over.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// The program as a process of its own.
 struct Process {
     child: Child,
     http: SocketAddr,
     admin: SocketAddr,
 }
 
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound port")
+}
+
 impl Process {
     /// Starts a gateway beside those of a region.
-    fn start(settings: &GatewaySettings, name: &str) -> Self {
-        let free = || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-            listener.local_addr().expect("a bound port")
-        };
-        let (http, admin) = (free(), free());
+    fn gateway(settings: &GatewaySettings, name: &str) -> Self {
         let mut settings = settings.clone();
-        settings.http = http;
-        settings.admin = admin;
+        settings.http = free();
+        settings.admin = free();
         settings.peer.set_ip([127, 0, 0, 9].into());
         settings.memory_mb = Some(MEMORY);
+        let (http, admin) = (settings.http, settings.admin);
+        Self::start("gateway", &settings, name, http, admin)
+    }
+
+    /// Starts a router.
+    fn router(settings: &RouterSettings, name: &str) -> Self {
+        let mut settings = settings.clone();
+        settings.http = free();
+        settings.admin = free();
+        settings.memory_mb = Some(MEMORY);
+        let (http, admin) = (settings.http, settings.admin);
+        Self::start("router", &settings, name, http, admin)
+    }
+
+    fn start(
+        role: &str,
+        settings: &impl Serialize,
+        name: &str,
+        http: SocketAddr,
+        admin: SocketAddr,
+    ) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = folder.join(format!("{name}.json"));
-        let text = serde_json::to_string(&settings).expect("settings are JSON");
+        let file = folder.join(format!("{role}-{name}.json"));
+        let text = serde_json::to_string(settings).expect("settings are JSON");
         fs::write(&file, text).expect("the file can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_redwingyard"))
-            .args(["gateway", "--settings"])
+            .args([role, "--settings"])
             .arg(file)
             .stdout(Stdio::null())
             .stderr(Stdio::null())
@@ -112,6 +155,72 @@
     chunked: bool,
 }
 
+/// Reads an answer up to its last byte, or for as long as it arrives.
+fn answer(stream: &mut TcpStream) -> String {
+    let (mut text, mut part) = (String::new(), [0; 1024]);
+    while !text.ends_with('}') {
+        match stream.read(&mut part) {
+            Ok(read @ 1..) => text.push_str(&String::from_utf8_lossy(&part[..read])),
+            _ => break,
+        }
+    }
+    text.to_ascii_lowercase()
+}
+
+impl Crowd {
+    /// Sends the bodies to a process that may keep only a part of them, and checks what it takes
+    /// and what it answers.
+    fn load(&self, process: &Process, path: &str, field: &str) {
+        let callers: Vec<_> = (0..self.callers)
+            .map(|i| self.call(process.http, &format!("{path}/{i}"), field))
+            .collect();
+        thread::sleep(Duration::from_millis(300));
+        let begun = Instant::now();
+        let answers: Vec<_> = callers
+            .into_iter()
+            .map(|mut stream| {
+                let left = PATIENCE.saturating_sub(begun.elapsed()).max(LOOK);
+                stream.set_read_timeout(Some(left)).expect("a valid time");
+                answer(&mut stream)
+            })
+            .collect();
+        let refused = |answer: &&String| answer.starts_with("http/1.1 503");
+        let count = answers.iter().filter(refused).count();
+        let silent = answers.iter().filter(|answer| answer.is_empty()).count();
+        let peak = process.peak();
+        println!("peak_kb={peak} refused={count} unanswered={silent}");
+        assert!(peak < MEMORY << 10, "{peak} KB of {MEMORY} MB");
+        assert!(count > 0, "{answers:?}");
+        for answer in &answers {
+            let told = !refused(&answer) || answer.contains("retry-after:");
+            assert!(answer.starts_with("http/1.1 ") && told, "{answer:?}");
+            assert!(answer.contains("\"ran\":\"no\""), "{answer:?}");
+        }
+    }
+
+    /// Sends the first part of a body.
+    fn call(&self, http: SocketAddr, path: &str, field: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(http).expect("it listens");
+        stream
+            .set_write_timeout(Some(Duration::from_millis(200)))
+            .expect("a valid time");
+        let (framing, size) = match self.chunked {
+            true => (
+                "transfer-encoding: chunked".to_owned(),
+                format!("{:x}\r\n", self.body),
+            ),
+            false => (format!("content-length: {}", self.body), String::new()),
+        };
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: a.example\r\n{field}\r\n{framing}\r\n\r\n{size}"
+        );
+        stream.write_all(head.as_bytes()).expect("it is sent");
+        // It is not read to its end where there is no room.
+        let _ = stream.write_all(&vec![b'x'; self.first]);
+        stream
+    }
+}
+
 /// The load: bodies that take more than the VM's memory together.
 #[rstest]
 #[case::slow(Crowd { name: "slow", callers: 400, body: 256 << 10, first: 200 << 10, chunked: false })]
@@ -127,53 +236,66 @@
     config["limits"]["idleTimeoutMs"] = 10_000.into();
     net.0.items.put("op/config", &config);
     let settings = settings.take().expect("settings");
-    let process = Process::start(&settings, crowd.name);
+    let process = Process::gateway(&settings, crowd.name);
     eventually("the new limits are in force", || {
         let page = process.page("/status");
         page.lines().any(|line| line.contains("\"generation\": 2,"))
     });
-    let callers: Vec<_> = (0..crowd.callers)
-        .map(|i| {
-            let mut stream = TcpStream::connect(process.http).expect("it listens");
-            stream
-                .set_read_timeout(Some(PATIENCE))
-                .expect("a valid time");
-            stream
-                .set_write_timeout(Some(Duration::from_millis(200)))
-                .expect("a valid time");
-            let (framing, size) = match crowd.chunked {
-                true => (
-                    "transfer-encoding: chunked".to_owned(),
-                    format!("{:x}\r\n", crowd.body),
-                ),
-                false => (format!("content-length: {}", crowd.body), String::new()),
-            };
-            let head = format!(
-                "POST /save/{i} HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\
-                 request-id: {i}\r\n{framing}\r\n\r\n{size}"
-            );
-            stream.write_all(head.as_bytes()).expect("it is sent");
-            // It is not read to its end where there is no room.
-            let _ = stream.write_all(&vec![b'x'; crowd.first]);
-            stream
-        })
-        .collect();
-    thread::sleep(Duration::from_millis(300));
-    let answers: Vec<_> = callers
-        .into_iter()
-        .map(|mut stream| {
-            let mut head = [0; 512];
-            let read = stream.read(&mut head);
-            String::from_utf8_lossy(&head[..read.unwrap_or(0)]).to_ascii_lowercase()
-        })
-        .collect();
-    let peak = process.peak();
-    assert!(peak < MEMORY << 10, "{peak} KB of {MEMORY} MB");
-    let refused = |answer: &&String| answer.starts_with("http/1.1 503");
-    assert!(answers.iter().any(|answer| refused(&answer)), "{answers:?}");
-    for answer in &answers {
-        let told = !refused(&answer) || answer.contains("retry-after:");
-        assert!(answer.starts_with("http/1.1 ") && told, "{answer:?}");
-    }
+    crowd.load(&process, "/save", "credential: secret\r\nrequest-id: r1");
     assert_eq!(net.runs(), 0);
 }
+
+const RULES: &str = "\
+generation 1                    # kim: test
+share * stall-1 1               # mei: test
+write shop POST /save/*         # lin: test
+target shop shop-1              # kim: test
+";
+
+/// The surroundings of a router: a platform, and a shop with its sidecar.
+struct Shop {
+    settings: RouterSettings,
+    writes: Writes,
+    _sidecar: Handle,
+}
+
+impl Shop {
+    fn start() -> Self {
+        let Surroundings {
+            values,
+            platform,
+            keys,
+        } = fleet::surroundings(RULES);
+        let writes = Writes::default();
+        let counted = writes.clone();
+        let target = on_thread(move |sender| async move {
+            let _ = sender.send(plain::serve(Duration::ZERO, counted).await);
+            std::future::pending::<()>().await;
+        });
+        let mut settings = fleet::router_settings("router-0", &keys, &platform);
+        settings.link = free();
+        settings.deadline_ms = 3_000;
+        settings.body_bytes = 2 << 20;
+        fleet::publish_vms(&values, &[("router-0", settings.link)]);
+        let sidecar = fleet::sidecar_settings("shop-1", "shop", target, 8, &keys, &platform);
+        Self {
+            settings,
+            writes,
+            _sidecar: fleet::sidecar(sidecar),
+        }
+    }
+}
+
+/// Fails without the settings' bound on the memory of bodies, and without their time-out.
+#[rstest]
+#[case::slow(Crowd { name: "slow", callers: 400, body: 256 << 10, first: 200 << 10, chunked: false })]
+#[case::without_a_length(Crowd { name: "chunked", callers: 400, body: 256 << 10, first: 200 << 10, chunked: true })]
+#[case::large(Crowd { name: "large", callers: 80, body: 2 << 20, first: 3 << 19, chunked: false })]
+fn callers_get_answers_from_a_router_that_keeps_within_its_memory(#[case] crowd: Crowd) {
+    let shop = Shop::start();
+    let process = Process::router(&shop.settings, crowd.name);
+    crowd.load(&process, "/shop/save", "x-account: stall-1");
+    for i in 0..crowd.callers {
+        assert_eq!(shop.writes.count(&format!("/save/{i}")), 0);
+    }
+}
