--- a/src/shell/front.rs
+++ b/src/shell/front.rs
@@ -14,7 +14,8 @@
     Response,
     StatusCode,
     body::Incoming,
-    header::AUTHORIZATION, //
+    header::AUTHORIZATION,
+    http::request, //
 };
 use xxhash_rust::xxh3::{
     Xxh3,
@@ -34,6 +35,7 @@
     },
     intake::{
         Bound,
+        discard,
         take, //
     },
     problem,
@@ -76,14 +78,21 @@
 
 /// Answers one request of a caller.
 pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
-    match classify(&process, request).await {
+    let (parts, mut body) = request.into_parts();
+    match classify(&process, parts, &mut body).await {
         Ok(ask) => answer(&process, ask).await,
-        Err(response) => *response,
+        Err(response) => {
+            discard(body);
+            *response
+        }
     }
 }
 
-async fn classify(process: &Process, request: Request<Incoming>) -> Result<Ask, Rejection> {
-    let (parts, body) = request.into_parts();
+async fn classify(
+    process: &Process,
+    parts: request::Parts,
+    body: &mut Incoming,
+) -> Result<Ask, Rejection> {
     let account = account(process, &parts.headers)?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let (service, rest) = split(path).ok_or_else(|| {
@@ -184,7 +193,7 @@
 async fn collect(
     process: &Process,
     account: Account,
-    body: Incoming,
+    body: &mut Incoming,
     limit: Duration,
 ) -> Result<Bytes, Rejection> {
     let bound = Bound {
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -47,6 +47,7 @@
         body::Body,
         intake::{
             Bound,
+            discard,
             take, //
         },
         problem, //
@@ -64,16 +65,23 @@
 
 /// Answers one request of a caller.
 pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
-    match admit(&process, request).await {
+    let (head, mut body) = request.into_parts();
+    match admit(&process, head, &mut body).await {
         Ok(call) => call.run().await,
-        Err(response) => *response,
+        Err(response) => {
+            discard(body);
+            *response
+        }
     }
 }
 
-async fn admit(process: &Rc<Process>, request: Request<Incoming>) -> Result<Call, Rejection> {
+async fn admit(
+    process: &Rc<Process>,
+    head: request::Parts,
+    body: &mut Incoming,
+) -> Result<Call, Rejection> {
     let arrived = process.clock.now();
     process.sync();
-    let (head, body) = request.into_parts();
     let rules = process.rules();
     let envelope = platform::envelope(&head.headers);
     if rules.generation() == 0 {
@@ -174,7 +182,7 @@
 async fn collect(
     process: &Process,
     envelope: &Envelope,
-    body: Incoming,
+    body: &mut Incoming,
     most: u64,
     limit: Duration,
 ) -> Result<Bytes, Rejection> {
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -105,6 +105,8 @@
     dials: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     pub(super) inbox: Arc<Inbox>,
     stopping: Cell<Option<Time>>,
+    /// Whether no further caller is taken.
+    pub(super) full: Cell<bool>,
     ticked: Cell<Time>,
     strain: RefCell<Strain>,
     pub(super) memory: Memory,
@@ -131,6 +133,7 @@
             dials: RefCell::default(),
             inbox: Arc::default(),
             stopping: Cell::new(None),
+            full: Cell::new(false),
             ticked: Cell::new(Duration::ZERO),
             strain: RefCell::default(),
             memory: Memory::new(settings.memory_mb.map(|limit| limit << 20)),
@@ -209,7 +212,8 @@
     pub(super) fn is_ready(&self) -> bool {
         let serving = self.feed.borrow().serving().next().is_some();
         let knows = self.rules().generation() > 0 && serving && self.is_trusted();
-        knows && !self.strain.borrow().is_strained() && !self.is_stopping()
+        let takes = !self.full.get() && !self.is_stopping();
+        knows && takes && !self.strain.borrow().is_strained()
     }
 
     pub(super) fn stop(&self) {
@@ -310,6 +314,13 @@
         }
     }
 
+    /// Ends all requests that have not ended.
+    pub(super) fn give_up(&self) {
+        for sender in self.orders.borrow().values() {
+            let _ = sender.unbounded_send(Order::Expire);
+        }
+    }
+
     pub(super) fn perform(&self, outs: Vec<Output>) {
         for out in outs {
             log::info!("{}", Line::of(&out));
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -29,6 +29,10 @@
     Request,
     StatusCode,
     body::Incoming,
+    header::{
+        CONNECTION,
+        HeaderValue, //
+    },
     server::conn::http1,
     service::service_fn, //
 };
@@ -66,6 +70,9 @@
 /// The time that is kept at the end of a stop for the process to end.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// The part of that time in which callers whose requests have not ended are told so.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
 /// The largest head where no rule sets a limit, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
@@ -104,6 +111,23 @@
         }
     }
 
+    /// Returns what ends when a connection is to close after the request that is under way.
+    fn stopped(&self) -> oneshot::Receiver<()> {
+        let (stop, stopped) = oneshot::channel();
+        let mut stops = self.stops.borrow_mut();
+        stops.retain(|stop| !stop.is_canceled());
+        stops.push(stop);
+        stopped
+    }
+
+    /// Closes connections where no request is under way, and the others after it.
+    fn close_idle(&self) {
+        for stop in self.stops.borrow_mut().drain(..) {
+            // A connection that has closed already needs no word.
+            let _ = stop.send(());
+        }
+    }
+
     /// Returns whether no further caller can be borne.
     fn is_full(&self) -> bool {
         self.memory.is_full(self.most)
@@ -164,8 +188,9 @@
 
     /// Stops gracefully; returns whether every request has ended in time.
     ///
-    /// The platform first stops sending callers here; then no connection is taken; then the
-    /// requests that are left end.
+    /// The platform first stops sending callers here, while those that are connected are served
+    /// once more and told to leave; then no connection is taken, and idle ones are closed; then
+    /// the requests that are left end.
     pub async fn drain(self) -> bool {
         let begun = self.process.clock.now();
         let limit = self.process.settings.stop().saturating_sub(STOP_MARGIN);
@@ -175,19 +200,22 @@
             "event=stopping requests={requests} connections={}",
             self.door.memory.connections()
         );
-        for stop in self.door.stops.borrow_mut().drain(..) {
-            // A connection that has closed already needs no word.
-            let _ = stop.send(());
-        }
         let passed = || self.process.clock.now().saturating_sub(begun);
         while passed() < LAST_CALLERS.min(limit) {
             sleep(TICK_INTERVAL).await;
         }
+        // Where this process was late just now, those who have connected meanwhile come in first.
+        sleep(TICK_INTERVAL).await;
         self.door.closed.set(true);
         while self.door.memory.connections() > 0 && passed() < limit {
+            self.door.close_idle();
             sleep(TICK_INTERVAL).await;
         }
         let left = self.door.memory.connections();
+        if left > 0 {
+            self.process.give_up();
+            sleep(LAST_ANSWERS).await;
+        }
         log::info!("event=stop connections={left}");
         left == 0
     }
@@ -203,8 +231,10 @@
 async fn accept(process: Rc<Process>, door: Rc<Door>, listener: TcpListener) {
     loop {
         while door.is_full() {
+            process.full.set(true);
             sleep(TICK_INTERVAL).await;
         }
+        process.full.set(false);
         match listener.accept().await {
             Ok(_) if door.closed.get() => return,
             Ok((stream, _)) => {
@@ -234,29 +264,26 @@
     };
     let limit = process.rules().limit(Limit::HeaderBytes);
     let most = limit.map_or(MAX_HEAD, |limit| limit as usize);
-    let stopping = process.is_stopping();
     let service = service_fn(|request: Request<Incoming>| {
         let (process, door) = (process.clone(), door.clone());
         async move {
-            let mut response = front::handle(process, request).await;
+            let mut response = front::handle(process.clone(), request).await;
             part(&door.memory, door.most, &mut response);
+            if process.is_stopping() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(response)
         }
     });
     let idle = process.rules().limit(Limit::IdleTime);
     let connection = http1::Builder::new()
-        .keep_alive(!stopping)
         .max_buf_size(most.max(LEAST_BUFFER))
         .timer(CompioTimer)
         // It also counts the time before a head begins.
         .header_read_timeout(idle.map_or(IDLE_LIMIT, Duration::from_millis))
         .serve_connection(stream, service);
-    let (stop, stopped) = oneshot::channel();
-    if !stopping {
-        let mut stops = door.stops.borrow_mut();
-        stops.retain(|stop| !stop.is_canceled());
-        stops.push(stop);
-    }
+    let stopped = door.stopped();
     let connection = std::pin::pin!(connection);
     if let Either::Right((Ok(()), mut connection)) = select(connection, stopped).await {
         connection.as_mut().graceful_shutdown();
--- a/src/shell/intake.rs
+++ b/src/shell/intake.rs
@@ -9,7 +9,10 @@
     Bytes,
     BytesMut, //
 };
-use compio::time::timeout;
+use compio::{
+    runtime::spawn,
+    time::timeout, //
+};
 use http_body_util::{
     BodyExt,
     LengthLimitError,
@@ -42,8 +45,12 @@
 /// How many times its size a buffer may take while it grows, since it is copied then.
 const GROWTH: usize = 2;
 
-/// The time for which the rest of a body is read that is not kept: some round trips.
-const DISCARD_LIMIT: Duration = Duration::from_millis(500);
+/// The most that is read of the rest of a refused request's body, in bytes: the largest body where
+/// no rule sets a limit.
+const MAX_DISCARD: usize = 4 << 20;
+
+/// The time that reading it may take: the `lingering_timeout` of today's web servers.
+const DISCARD_LIMIT: Duration = Duration::from_secs(5);
 
 /// How large a body may be.
 pub(super) struct Bound {
@@ -66,7 +73,7 @@
 /// Reads a body whole; refuses the request with `unroomed` where there is no memory for it.
 pub(super) async fn take(
     memory: &Memory,
-    body: Incoming,
+    body: &mut Incoming,
     bound: Bound,
     limit: Duration,
     unroomed: impl FnOnce() -> Rejection,
@@ -77,10 +84,7 @@
     let mut body = Limited::new(body, bound.bytes);
     let (status, title, detail) = match timeout(limit, read(memory, &mut body)).await {
         Ok(Ok(body)) => return Ok(body),
-        Ok(Err(Untaken::NoRoom)) => {
-            discard(body, limit).await;
-            return Err(unroomed());
-        }
+        Ok(Err(Untaken::NoRoom)) => return Err(unroomed()),
         Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => (
             StatusCode::PAYLOAD_TOO_LARGE,
             "body-too-large",
@@ -101,7 +105,7 @@
 }
 
 /// Reads a body, whose length is promised room at once where it is known.
-async fn read(memory: &Memory, body: &mut Limited<Incoming>) -> Result<Bytes, Untaken> {
+async fn read(memory: &Memory, body: &mut Limited<&mut Incoming>) -> Result<Bytes, Untaken> {
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
     let mut whole = BytesMut::with_capacity(expected.min(MAX_START));
@@ -118,9 +122,16 @@
     Ok(hold(whole.freeze(), holding))
 }
 
-/// Reads the rest of a body without keeping it, so that its sender gets to read the answer.
-async fn discard(mut body: Limited<Incoming>, limit: Duration) {
-    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-    // A sender that is slower than that may miss the answer.
-    let _ = timeout(DISCARD_LIMIT.min(limit), rest).await;
+/// Reads what is left of a refused request's body while the answer leaves. Closing the connection
+/// with bytes unread would reset it, and the caller could lose the answer.
+pub(super) fn discard(body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    spawn(async move {
+        let mut rest = Limited::new(body, MAX_DISCARD);
+        let read = async { while let Some(Ok(_)) = rest.frame().await {} };
+        let _ = timeout(DISCARD_LIMIT, read).await;
+    })
+    .detach();
 }
