--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -1,33 +1,17 @@
 //! The callers' interface of a gateway: from a request's head to what the pool decides on.
 
 use std::{
-    error::Error,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use compio::{
-    runtime::spawn,
-    time::timeout, //
-};
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
+use bytes::Bytes;
 use hyper::{
     Request,
     Response,
     StatusCode,
-    body::{
-        Body as _,
-        Incoming, //
-    },
+    body::Incoming,
     header::HOST,
     http::request, //
 };
@@ -37,7 +21,6 @@
         Call,
         CallerAsk, //
     },
-    memory::hold,
     process::Process,
     refusal::{
         FAULT_RETRY,
@@ -52,7 +35,6 @@
     },
     pool::{
         Ask,
-        Memory,
         Refusal, //
     },
     rules::{
@@ -64,6 +46,11 @@
     },
     shell::{
         body::Body,
+        intake::{
+            Bound,
+            discard,
+            take, //
+        },
         problem, //
     }, //
 };
@@ -71,22 +58,12 @@
 /// The largest body where no rule sets a limit, in bytes.
 const MAX_BODY: u64 = 4 << 20;
 
-/// The most that is read of the rest of a refused request's body, in bytes: the largest body where
-/// no rule sets a limit.
-const MAX_DISCARD: usize = MAX_BODY as usize;
-
-/// The time that reading it may take: the `lingering_timeout` of today's web servers.
-const DISCARD_LIMIT: Duration = Duration::from_secs(5);
-
 /// The least time that a body may take: it lay unread with its head.
 const LEAST_BODY_TIME: Duration = Duration::from_millis(100);
 
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
-/// How many times its size a buffer may take while it grows, since it is copied then.
-const GROWTH: usize = 2;
-
 /// A refusal before a request is queued.
 type Rejection = Box<Response<Body>>;
 
@@ -207,14 +184,6 @@
     }
 }
 
-/// Why a body was not taken in.
-enum Untaken {
-    /// It broke off, or is larger than the rules allow.
-    Failed(Box<dyn Error + Send + Sync>),
-    /// There is no memory for it.
-    NoRoom,
-}
-
 /// Reads a body whole.
 async fn collect(
     process: &Process,
@@ -223,60 +192,12 @@
     most: u64,
     limit: Duration,
 ) -> Result<Bytes, Rejection> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let most = usize::try_from(most).unwrap_or(usize::MAX);
-    let mut body = Limited::new(body, most);
-    match timeout(limit, take(&process.memory, &mut body)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(Untaken::NoRoom)) => Err(unroomed(process, envelope)),
-        Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => {
-            let detail = "the body is larger than the rules allow";
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(reject(status, "body-too-large", detail))
-        }
-        Ok(Err(Untaken::Failed(_))) => {
-            let detail = "the body broke off";
-            Err(reject(StatusCode::BAD_REQUEST, "bad-body", detail))
-        }
-        Err(_) => {
-            let detail = "the body did not arrive in time";
-            Err(reject(StatusCode::REQUEST_TIMEOUT, "slow-body", detail))
-        }
-    }
-}
-
-/// Reads a body whole where there is memory for it, known from its length if it has one.
-async fn take(memory: &Memory, body: &mut Limited<&mut Incoming>) -> Result<Bytes, Untaken> {
-    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
-    let mut whole = BytesMut::with_capacity(expected.min(MAX_BODY as usize));
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
-            continue;
-        };
-        let size = whole.len() + data.len();
-        if size > expected && !holding.reach(size * GROWTH) {
-            return Err(Untaken::NoRoom);
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(hold(whole.freeze(), holding))
-}
-
-/// Reads what is left of a refused request's body while the answer leaves. Closing the connection
-/// with bytes unread would reset it, and the caller could lose the answer.
-fn discard(body: Incoming) {
-    if body.is_end_stream() {
-        return;
-    }
-    spawn(async move {
-        let mut rest = Limited::new(body, MAX_DISCARD);
-        let read = async { while let Some(Ok(_)) = rest.frame().await {} };
-        let _ = timeout(DISCARD_LIMIT, read).await;
-    })
-    .detach();
+    let bound = Bound {
+        bytes: usize::try_from(most).unwrap_or(usize::MAX),
+        name: "the rules allow",
+    };
+    let unroomed = || unroomed(process, envelope);
+    take(&process.memory, body, bound, limit, unroomed).await
 }
 
 /// Refuses a request for whose body there is no memory.
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -40,10 +40,6 @@
     server::conn::http1,
     service::service_fn, //
 };
-use rustix::process::{
-    Resource,
-    getrlimit, //
-};
 use serde::Serialize;
 
 use super::{
@@ -62,6 +58,11 @@
     shell::{
         StartError,
         admin,
+        intake::IDLE_LIMIT,
+        memory::{
+            most_connections,
+            part, //
+        },
         stream::{
             Drained,
             Stream, //
@@ -79,20 +80,9 @@
 /// The part of that time in which callers whose requests have not ended are told so.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
-/// How many more than [`Door::most`] connections are taken at all: some of them are about to close.
-const FULL_PART: usize = 2;
-
-/// The part of the descriptors that callers' connections may take; the rest is for targets,
-/// and for callers that come while others are idle.
-const CALLERS_PART: f64 = 0.7;
-
 /// The largest head where no rule sets a limit, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
-/// The time that a connection may be idle, or take for a head, where no rule sets a limit: that
-/// of today's large load balancers.
-const IDLE_LIMIT: Duration = Duration::from_secs(60);
-
 /// The least read buffer that hyper takes, in bytes.
 const LEAST_BUFFER: usize = 8 << 10;
 
@@ -128,11 +118,6 @@
         }
     }
 
-    /// Returns whether idle connections would keep new callers out.
-    fn is_crowded(&self) -> bool {
-        self.memory.connections() > self.most || self.memory.is_short()
-    }
-
     /// Returns what ends when a connection is to close after the request that is under way.
     fn stopped(&self) -> oneshot::Receiver<()> {
         let (stop, stopped) = oneshot::channel();
@@ -152,19 +137,10 @@
 
     /// Returns whether no further caller can be borne.
     fn is_full(&self) -> bool {
-        let connections = self.memory.connections();
-        connections > self.most.saturating_mul(FULL_PART) || !self.memory.has_room()
+        self.memory.is_full(self.most)
     }
 }
 
-/// Returns the callers' connections that leave room for those to targets, and that the memory
-/// bears.
-fn most_connections(memory: &Memory) -> usize {
-    let limit = getrlimit(Resource::Nofile).current;
-    let files = limit.map_or(usize::MAX, |limit| (limit as f64 * CALLERS_PART) as usize);
-    files.min(memory.most_connections() / FULL_PART)
-}
-
 /// What `redwingyard status` prints of a gateway.
 #[derive(Serialize)]
 struct Status {
@@ -311,9 +287,8 @@
         let arrived = process.arrival(drained.at());
         async move {
             let mut response = front::handle(process.clone(), request, arrived).await;
-            // Those that are served come back at once, over the same connection.
-            let crowded = door.is_crowded() && !response.status().is_success();
-            if crowded || process.is_stopping() {
+            part(&door.memory, door.most, &mut response);
+            if process.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -71,6 +71,8 @@
     /// The reads that have succeeded one after another.
     streak: u32,
     drained: Option<Drained>,
+    /// The most bytes of one read.
+    most: usize,
 }
 
 impl Stream {
@@ -81,9 +83,16 @@
             socket,
             streak: 0,
             drained: None,
+            most: usize::MAX,
         })
     }
 
+    /// Takes at most so many bytes with one read: hyper's buffer grows with what a read brings, up
+    /// to the largest head, and would do so for each body.
+    pub(super) fn by_parts(self, most: usize) -> Self {
+        Self { most, ..self }
+    }
+
     /// Returns what ends the connection while its task still waits for its turn.
     pub(super) fn hangup(&self) -> Hangup {
         Hangup(Rc::downgrade(&self.socket))
@@ -122,6 +131,8 @@
         }
         // SAFETY: `recv` only writes to the buffer, and never makes it uninitialized.
         let space = unsafe { buf.as_mut() };
+        let most = self.most.min(space.len());
+        let space = &mut space[..most];
         let polled = self.socket.poll_read_with(cx, |socket| socket.recv(space));
         self.streak = match polled {
             Poll::Ready(_) => self.streak + 1,
