Promise room as bytes arrive, and let no idle memory keep callers out

Change: reads are smaller than hyper's least buffer; the measured figure bounds only while callers are counted with a quarter of the limit; bodies are promised 64 KB ahead of their arrival, and all of them at most half of the room; a length beyond the bound is answered 413 at once; a prompt part counts as 16 tokens at least; a held answer is counted with its buffer's growth.

--- a/src/pool/cache.rs
+++ b/src/pool/cache.rs
@@ -6,6 +6,10 @@
 };
 
 use super::Part;
+
+/// The least that a part is counted as, in tokens, so that small ones are few.
+const LEAST_PART: u64 = 16;
+
 /// The prompt parts that an engine is believed to keep, least recently used first out.
 ///
 /// The belief is learnt from the requests that this router has sent, so it can be wrong
@@ -51,12 +55,14 @@
         // The first parts are used last, so that a path is forgotten from its end.
         for part in parts.iter().rev() {
             self.clock += 1;
-            let fresh = (part.tokens, self.clock);
+            let tokens = part.tokens.max(LEAST_PART);
+            let fresh = (tokens, self.clock);
             match self.parts.insert(part.path, fresh) {
-                Some((_, used)) => {
+                Some((old, used)) => {
                     self.order.remove(&used);
+                    self.tokens = self.tokens - old + tokens;
                 }
-                None => self.tokens += part.tokens,
+                None => self.tokens += tokens,
             }
             self.order.insert(self.clock, part.path);
         }
--- a/src/pool/memory.rs
+++ b/src/pool/memory.rs
@@ -30,15 +30,23 @@
 /// is for what has arrived and lies unread.
 const SHORT_PART: f64 = 0.9;
 
+/// The part of the limit that must be counted before the measured figure bounds anything: below
+/// it, most of that is memory which has been freed and will be used again.
+const USED_PART: f64 = 0.25;
+
+/// The part of the room beside [`OWN_MEMORY`] that bodies and answers may take, so that they do not
+/// keep callers out who send none.
+const HELD_PART: f64 = 0.5;
+
 /// What a process holds in memory for its callers, and how much it may hold.
 ///
 /// ```
 /// use redwingyard::pool::Memory;
 /// let memory = Memory::new(Some(32 << 20));
-/// let body = memory.hold(6 << 20).expect("there is room");
-/// assert!(memory.hold(6 << 20).is_none());
+/// let body = memory.hold(3 << 20).expect("there is room");
+/// assert!(memory.hold(3 << 20).is_none());
 /// drop(body);
-/// assert!(memory.hold(6 << 20).is_some());
+/// assert!(memory.hold(3 << 20).is_some());
 /// ```
 #[derive(Clone, Debug)]
 pub struct Memory(Arc<State>);
@@ -105,7 +113,7 @@
     /// Returns whether a further connection has room.
     pub fn has_room(&self) -> bool {
         let few = self.connections() < LEAST_CONNECTIONS;
-        few || !self.is_short() && self.left() >= CONNECTION_MEMORY
+        few || !self.is_bound() && self.left() >= CONNECTION_MEMORY
     }
 
     /// Promises room to a body or an answer; `None` where there is none.
@@ -146,10 +154,27 @@
         self.resident() as f64 > self.0.limit as f64 * SHORT_PART
     }
 
-    fn left(&self) -> usize {
+    /// Returns whether what callers hold makes the process short of memory.
+    fn is_bound(&self) -> bool {
+        self.is_short() && self.counted() as f64 > self.0.limit as f64 * USED_PART
+    }
+
+    /// Returns what is counted for callers.
+    fn counted(&self) -> usize {
         let connections = self.connections().saturating_mul(CONNECTION_MEMORY);
-        let taken = OWN_MEMORY + connections + self.held();
-        self.0.limit.saturating_sub(taken)
+        connections + self.held()
+    }
+
+    fn left(&self) -> usize {
+        let room = self.0.limit.saturating_sub(OWN_MEMORY);
+        room.saturating_sub(self.counted())
+    }
+
+    /// Returns the bytes that bodies and answers may still be promised.
+    fn left_to_hold(&self) -> usize {
+        let room = self.0.limit.saturating_sub(OWN_MEMORY) as f64;
+        let most = (room * HELD_PART) as usize;
+        most.saturating_sub(self.held()).min(self.left())
     }
 }
 
@@ -176,8 +201,7 @@
 impl Holding {
     /// Extends the promise to a size; returns `false`, and changes nothing, where there is no room.
     ///
-    /// A process that is short of memory by its own measure keeps one promise at a time, since
-    /// what it has freed may be counted as taken for long.
+    /// A process whose callers make it short of memory keeps one promise at a time.
     pub fn reach(&mut self, bytes: usize) -> bool {
         if bytes <= self.bytes {
             return true;
@@ -185,8 +209,8 @@
         let counted = bytes.saturating_sub(COUNTED_BODY);
         let more = counted - self.counted;
         let others = self.memory.held() - self.counted;
-        let short = more > 0 && others > 0 && self.memory.is_short();
-        if short || more > self.memory.left() {
+        let short = more > 0 && others > 0 && self.memory.is_bound();
+        if short || more > self.memory.left_to_hold() {
             return false;
         }
         self.memory.0.held.fetch_add(more, Ordering::Relaxed);
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -49,6 +49,7 @@
             Sender, //
         },
         fields::strip,
+        intake::GROWTH,
         memory::hold, //
     }, //
 };
@@ -166,7 +167,9 @@
                     }
                 }
             }
-            let kept = holding.as_mut().is_some_and(|held| held.reach(data.len()));
+            let kept = holding
+                .as_mut()
+                .is_some_and(|held| held.reach(data.len() * GROWTH));
             if self.ask.stream && !data.is_empty() || data.len() > MAX_HELD || !kept {
                 break false;
             }
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -58,7 +58,10 @@
     shell::{
         StartError,
         admin,
-        intake::IDLE_LIMIT,
+        intake::{
+            IDLE_LIMIT,
+            READ_PART, //
+        },
         memory::{
             most_connections,
             part, //
@@ -277,7 +280,7 @@
 async fn converse(process: Rc<Process>, door: &Rc<Door>, stream: TcpStream, drained: Drained) {
     let _ = stream.set_nodelay(true);
     let stream = match Stream::new(stream) {
-        Ok(stream) => stream.noting(drained.clone()),
+        Ok(stream) => stream.by_parts(READ_PART).noting(drained.clone()),
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let limit = process.rules().limit(Limit::HeaderBytes);
--- a/src/shell/intake.rs
+++ b/src/shell/intake.rs
@@ -38,12 +38,19 @@
 /// of today's large load balancers.
 pub(super) const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
+/// The most that is read at once from a caller's connection, in bytes: less than hyper's least
+/// buffer, which doubles when a read fills it.
+pub(super) const READ_PART: usize = (8 << 10) - 1;
+
+/// How much of a body is promised room ahead of its arrival, in bytes.
+const AHEAD: usize = 64 << 10;
+
 /// The most that is set aside at once for a body, in bytes: the largest one where no rule sets a
 /// limit.
 const MAX_START: usize = 4 << 20;
 
 /// How many times its size a buffer may take while it grows, since it is copied then.
-const GROWTH: usize = 2;
+pub(super) const GROWTH: usize = 2;
 
 /// The most that is read of the rest of a refused request's body, in bytes: the largest body where
 /// no rule sets a limit.
@@ -81,40 +88,49 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    let named = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if named > bound.bytes {
+        return Err(too_large(&bound));
+    }
     let mut body = Limited::new(body, bound.bytes);
     let (status, title, detail) = match timeout(limit, read(memory, &mut body)).await {
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(Untaken::NoRoom)) => return Err(unroomed()),
-        Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => (
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body-too-large",
-            format!("the body is larger than {}", bound.name),
-        ),
-        Ok(Err(Untaken::Failed(_))) => (
-            StatusCode::BAD_REQUEST,
-            "bad-body",
-            "the body broke off".to_owned(),
-        ),
+        Ok(Err(Untaken::Failed(err))) if err.is::<LengthLimitError>() => {
+            return Err(too_large(&bound));
+        }
+        Ok(Err(Untaken::Failed(_))) => (StatusCode::BAD_REQUEST, "bad-body", "the body broke off"),
         Err(_) => (
             StatusCode::REQUEST_TIMEOUT,
             "slow-body",
-            "the body did not arrive in time".to_owned(),
+            "the body did not arrive in time",
         ),
     };
-    Err(Box::new(reject(status, title, &detail)))
+    Err(Box::new(reject(status, title, detail)))
+}
+
+#[cold]
+fn too_large(bound: &Bound) -> Rejection {
+    let detail = format!("the body is larger than {}", bound.name);
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    Box::new(reject(status, "body-too-large", &detail))
 }
 
-/// Reads a body, whose length is promised room at once where it is known.
+/// Reads a body, which is promised room as it arrives.
 async fn read(memory: &Memory, body: &mut Limited<&mut Incoming>) -> Result<Bytes, Untaken> {
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut holding = memory.hold(expected).ok_or(Untaken::NoRoom)?;
+    let mut holding = memory.hold(expected.min(AHEAD)).ok_or(Untaken::NoRoom)?;
     let mut whole = BytesMut::with_capacity(expected.min(MAX_START));
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
             continue;
         };
         let size = whole.len() + data.len();
-        if size > expected && !holding.reach(size * GROWTH) {
+        let needed = match size > expected {
+            true => size * GROWTH,
+            false => size.next_multiple_of(AHEAD).min(expected),
+        };
+        if !holding.reach(needed) {
             return Err(Untaken::NoRoom);
         }
         whole.extend_from_slice(&data);
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -48,7 +48,10 @@
         Governed,
         Governor, //
     },
-    intake::IDLE_LIMIT,
+    intake::{
+        IDLE_LIMIT,
+        READ_PART, //
+    },
     link::{
         self,
         Context,
@@ -101,10 +104,6 @@
 /// The largest head of a request, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
-/// The most that is read at once from a caller's connection, in bytes: the least buffer that hyper
-/// takes.
-const READ_PART: usize = 8 << 10;
-
 /// Why a process could not start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -33,9 +33,15 @@
     Net,
     eventually, //
 };
-use redwingyard::settings::{
-    GatewaySettings,
-    RouterSettings, //
+use redwingyard::{
+    pool::{
+        Cache,
+        Part, //
+    },
+    settings::{
+        GatewaySettings,
+        RouterSettings, //
+    }, //
 };
 use rstest::rstest;
 use serde::Serialize;
@@ -299,3 +305,149 @@
         assert_eq!(shop.writes.count(&format!("/save/{i}")), 0);
     }
 }
+
+/// Starts a gateway of its own beside a region, under rules that allow large bodies and heads.
+fn small_process(name: &str, head: usize) -> (Net, Process) {
+    let settings = RefCell::new(None);
+    let net = Net::with(1, |all| {
+        settings.replace(Some(all.clone()));
+    });
+    let mut config = net::config(2, &["secret"]);
+    config["limits"]["maxBodyBytes"] = (8 << 20).into();
+    config["limits"]["maxHeaderBytes"] = head.into();
+    config["limits"]["idleTimeoutMs"] = 20_000.into();
+    net.0.items.put("op/config", &config);
+    let settings = settings.take().expect("settings");
+    let process = Process::gateway(&settings, name);
+    eventually("the new limits are in force", || {
+        let page = process.page("/status");
+        page.lines().any(|line| line.contains("\"generation\": 2,"))
+    });
+    (net, process)
+}
+
+const ASKED: &str = "GET /read/1 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\
+                     request-id: b\r\n\r\n";
+
+/// Returns the head of a request with a body of that length.
+fn with_body(length: usize) -> Vec<u8> {
+    format!(
+        "POST /save/1 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\
+         request-id: a\r\ncontent-length: {length}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Returns a head of 60 KB that has not ended.
+fn endless_head() -> Vec<u8> {
+    let mut head = b"GET /read/1 HTTP/1.1\r\nhost: a.example\r\nx: ".to_vec();
+    head.resize(60 << 10, b'x');
+    head
+}
+
+/// Connects and sends what is taken of a text.
+fn caller(process: &Process, text: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(process.http).expect("it listens");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .expect("a valid time");
+    stream
+        .set_write_timeout(Some(Duration::from_millis(200)))
+        .expect("a valid time");
+    let _ = stream.write_all(text);
+    stream
+}
+
+/// Returns the beginning of an answer.
+fn beginning(stream: &mut TcpStream) -> String {
+    let mut head = [0; 512];
+    let read = stream.read(&mut head);
+    String::from_utf8_lossy(&head[..read.unwrap_or(0)]).to_ascii_lowercase()
+}
+
+/// The load: a few callers name bodies and send nothing of them.
+#[test]
+fn callers_who_only_name_bodies_keep_no_others_out() {
+    let (_net, process) = small_process("named", 8 << 10);
+    let greedy: Vec<_> = (0..200)
+        .map(|_| caller(&process, &with_body(256 << 10)))
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    let begun = Instant::now();
+    let mut others: Vec<_> = (0..100)
+        .map(|_| caller(&process, ASKED.as_bytes()))
+        .collect();
+    let answered = others
+        .iter_mut()
+        .filter_map(|other| beginning(other).starts_with("http/1.1 ").then_some(()))
+        .count();
+    let took = begun.elapsed();
+    drop(greedy);
+    assert!(
+        answered == 100 && took < Duration::from_secs(1),
+        "{answered} of 100 in {took:?}"
+    );
+}
+
+/// The load: callers that leave, and more callers after them.
+#[test]
+fn a_process_whose_callers_have_left_takes_others() {
+    let (_net, process) = small_process("left", 64 << 10);
+    let head = endless_head();
+    let callers: Vec<_> = (0..760).map(|_| caller(&process, &head)).collect();
+    thread::sleep(Duration::from_millis(500));
+    drop(callers);
+    thread::sleep(Duration::from_secs(2));
+    let mut others = Vec::new();
+    for i in 0..80 {
+        let mut other = caller(&process, ASKED.as_bytes());
+        let answer = beginning(&mut other);
+        assert!(answer.starts_with("http/1.1 "), "caller {i}: {answer:?}");
+        others.push(other);
+    }
+}
+
+/// The load: callers that stay after a body of 200 KB has been answered.
+#[test]
+fn callers_that_stay_keep_within_the_memory() {
+    let (_net, process) = small_process("idle", 64 << 10);
+    let mut text = with_body(200 << 10);
+    text.resize(text.len() + (200 << 10), b'x');
+    let mut callers = Vec::new();
+    for i in 0..800 {
+        let mut stream = caller(&process, &text);
+        let answer = beginning(&mut stream);
+        let peak = process.peak();
+        assert!(peak < MEMORY << 10, "caller {i}: {peak} KB of {MEMORY} MB");
+        assert!(answer.starts_with("http/1.1 "), "caller {i}: {answer:?}");
+        callers.push(stream);
+    }
+}
+
+/// The load: a body that names a length beyond the rules, of which nothing arrives.
+#[test]
+fn a_body_that_is_too_long_is_told_so_at_once() {
+    let (_net, process) = small_process("long", 8 << 10);
+    let mut stream = caller(&process, &with_body(100 << 20));
+    let answer = beginning(&mut stream);
+    assert!(answer.starts_with("http/1.1 413"), "{answer:?}");
+}
+
+/// The load: prompts whose parts are said to have no tokens.
+#[test]
+fn parts_without_tokens_keep_within_the_memory() {
+    let resident = || {
+        let text = fs::read_to_string("/proc/self/statm").expect("a file");
+        let pages = text.split_whitespace().nth(1);
+        let pages: Option<usize> = pages.and_then(|pages| pages.parse().ok());
+        pages.expect("a count of pages") * 4
+    };
+    let mut cache = Cache::new(1_000);
+    let before = resident();
+    for i in 0..300_000_u32 {
+        cache.insert(&Part::chain([(i.to_string().as_str(), 0)]));
+    }
+    let more = resident().saturating_sub(before);
+    drop(cache);
+    assert!(more < 4 << 10, "{more} KB");
+}
