--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -63,8 +63,8 @@
             READ_PART, //
         },
         memory::{
+            close_crowded, //
             most_connections,
-            part, //
         },
         stream::{
             Drained,
@@ -290,7 +290,7 @@
         let arrived = process.arrival(drained.at());
         async move {
             let mut response = front::handle(process.clone(), request, arrived).await;
-            part(&door.memory, door.most, &mut response);
+            close_crowded(&door.memory, door.most, &mut response);
             if process.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/src/shell/memory.rs
+++ b/src/shell/memory.rs
@@ -48,7 +48,7 @@
 }
 
 /// Closes a connection after a refusal, where it would keep new callers out.
-pub(super) fn part(memory: &Memory, most: usize, response: &mut Response<Body>) {
+pub(super) fn close_crowded(memory: &Memory, most: usize, response: &mut Response<Body>) {
     // Those that are served come back at once, over the same connection.
     if memory.is_crowded(most) && !response.status().is_success() {
         let close = HeaderValue::from_static("close");
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -562,7 +562,7 @@
     };
     let service = service_fn(|request| async move {
         let mut response = front::handle(process.clone(), request).await;
-        memory::part(&process.memory, most, &mut response);
+        memory::close_crowded(&process.memory, most, &mut response);
         Ok::<_, std::convert::Infallible>(response)
     });
     let connection = http1::Builder::new()
