--- a/src/shell/front.rs
+++ b/src/shell/front.rs
@@ -35,6 +35,7 @@
     },
     intake::{
         Bound,
+        Rejection,
         discard,
         take, //
     },
@@ -73,9 +74,6 @@
 /// When to come back to a router that has no memory for a body: the least that `Retry-After` says.
 const ROOM_RETRY: Duration = Duration::from_secs(1);
 
-/// A refusal before a request is queued.
-type Rejection = Box<Response<Body>>;
-
 /// Answers one request of a caller.
 pub(super) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Response<Body> {
     let (parts, mut body) = request.into_parts();
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -48,6 +48,8 @@
         body::Body,
         intake::{
             Bound,
+            MAX_BODY,
+            Rejection,
             discard,
             take, //
         },
@@ -55,18 +57,12 @@
     }, //
 };
 
-/// The largest body where no rule sets a limit, in bytes.
-const MAX_BODY: u64 = 4 << 20;
-
 /// The least time that a body may take: it lay unread with its head.
 const LEAST_BODY_TIME: Duration = Duration::from_millis(100);
 
 /// When to come back to a gateway that does not know the rules yet.
 const EMPTY_RETRY: Duration = Duration::from_millis(300);
 
-/// A refusal before a request is queued.
-type Rejection = Box<Response<Body>>;
-
 /// Answers one request of a caller, which arrived at a time.
 pub(super) async fn handle(
     process: Rc<Process>,
@@ -109,7 +105,7 @@
     let account = account(process, &rules, route, &envelope)?;
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
-    let most = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY);
+    let most = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY as u64);
     let left = deadline.saturating_sub(process.clock.now());
     let limit = left.max(LEAST_BODY_TIME);
     let body = collect(process, &envelope, body, most, limit).await?;
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -33,10 +33,6 @@
     Request,
     StatusCode,
     body::Incoming,
-    header::{
-        CONNECTION,
-        HeaderValue, //
-    },
     server::conn::http1,
     service::service_fn, //
 };
@@ -63,6 +59,7 @@
             READ_PART, //
         },
         memory::{
+            close,
             close_crowded, //
             most_connections,
         },
@@ -292,8 +289,7 @@
             let mut response = front::handle(process.clone(), request, arrived).await;
             close_crowded(&door.memory, door.most, &mut response);
             if process.is_stopping() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
+                close(&mut response);
             }
             Ok::<_, Infallible>(response)
         }
--- a/src/shell/intake.rs
+++ b/src/shell/intake.rs
@@ -45,18 +45,14 @@
 /// How much of a body is promised room ahead of its arrival, in bytes.
 const AHEAD: usize = 64 << 10;
 
-/// The most that is set aside at once for a body, in bytes: the largest one where no rule sets a
-/// limit.
-const MAX_START: usize = 4 << 20;
+/// The largest body where no rule sets a limit, in bytes; no more than that is set aside at once
+/// for a body, and no more is read of the rest of a refused one.
+pub(super) const MAX_BODY: usize = 4 << 20;
 
 /// How many times its size a buffer may take while it grows, since it is copied then.
 pub(super) const GROWTH: usize = 2;
 
-/// The most that is read of the rest of a refused request's body, in bytes: the largest body where
-/// no rule sets a limit.
-const MAX_DISCARD: usize = 4 << 20;
-
-/// The time that reading it may take: the `lingering_timeout` of today's web servers.
+/// The time that reading the rest of a refused body may take: the `lingering_timeout` of today's web servers.
 const DISCARD_LIMIT: Duration = Duration::from_secs(5);
 
 /// How large a body may be.
@@ -67,7 +63,7 @@
 }
 
 /// A refusal before a request is queued.
-type Rejection = Box<Response<Body>>;
+pub(super) type Rejection = Box<Response<Body>>;
 
 /// Why a body was not taken in.
 enum Untaken {
@@ -120,7 +116,7 @@
 async fn read(memory: &Memory, body: &mut Limited<&mut Incoming>) -> Result<Bytes, Untaken> {
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut holding = memory.hold(expected.min(AHEAD)).ok_or(Untaken::NoRoom)?;
-    let mut whole = BytesMut::with_capacity(expected.min(MAX_START));
+    let mut whole = BytesMut::with_capacity(expected.min(MAX_BODY));
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(Untaken::Failed)?.into_data() else {
             continue;
@@ -145,7 +141,7 @@
         return;
     }
     spawn(async move {
-        let mut rest = Limited::new(body, MAX_DISCARD);
+        let mut rest = Limited::new(body, MAX_BODY);
         let read = async { while let Some(Ok(_)) = rest.frame().await {} };
         let _ = timeout(DISCARD_LIMIT, read).await;
     })
--- a/src/shell/memory.rs
+++ b/src/shell/memory.rs
@@ -51,11 +51,16 @@
 pub(super) fn close_crowded(memory: &Memory, most: usize, response: &mut Response<Body>) {
     // Those that are served come back at once, over the same connection.
     if memory.is_crowded(most) && !response.status().is_success() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        close(response);
     }
 }
 
+/// Says that a connection closes after an answer.
+pub(super) fn close(response: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 /// Measures what this process takes, in bytes, and logs where it becomes short of memory or is no
 /// longer; `None` where the system does not say.
 pub(super) fn measure(memory: &Memory, requests: usize) -> Option<usize> {
