Log how an answer marks its end, and what was known of its target then

The hypotheses could not be told apart, since no line said which framing an answer had and how it ended. A histogram counts these times. What is judged to be whole is unchanged. Evidence: tests/story.rs shows the lines explained; tests/targets.rs and tests/gateway.rs pass.

--- a/src/shell/gateway/events.rs
+++ b/src/answer/events.rs
@@ -6,6 +6,8 @@
     BytesMut, //
 };
 
+use super::Flaw;
+
 /// The bytes that end an event (the HTML standard's event stream format).
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -18,7 +20,7 @@
 const ID_FIELD: &[u8] = b"id:";
 
 /// Returns the number of events that end in a piece of a stream.
-pub(super) fn count(data: &[u8]) -> u32 {
+pub fn count_events(data: &[u8]) -> u32 {
     data.windows(EVENT_END.len())
         .filter(|window| *window == EVENT_END)
         .count() as u32
@@ -40,15 +42,19 @@
         self.tail.drain(..surplus);
     }
 
-    /// Returns whether the last byte was the end of an event.
-    pub(super) fn is_reached(&self) -> bool {
-        self.tail.ends_with(EVENT_END) || self.tail.ends_with(EVENT_END_CRLF)
+    /// Returns what a stream that ends here lacks.
+    pub(super) fn flaw(&self) -> Option<Flaw> {
+        if self.tail.is_empty() {
+            return Some(Flaw::NoEvent);
+        }
+        let whole = self.tail.ends_with(EVENT_END) || self.tail.ends_with(EVENT_END_CRLF);
+        (!whole).then_some(Flaw::InsideEvent)
     }
 }
 
 /// Splits a stream so that only whole events are passed on.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter {
+pub struct EventSplitter {
     /// The beginning of an event whose end has not arrived.
     partial: BytesMut,
     /// The id of the last event that was passed on.
@@ -57,7 +63,7 @@
 
 impl EventSplitter {
     /// Adds bytes of the stream. Returns all events that are complete now.
-    pub(super) fn push(&mut self, data: Bytes) -> Bytes {
+    pub fn push(&mut self, data: Bytes) -> Bytes {
         let whole = match self.partial.is_empty() {
             true if data.ends_with(EVENT_END) => data,
             _ => {
@@ -78,18 +84,18 @@
 
     /// Returns whether the event that has not ended is longer than [`MAX_EVENT`]; no target sends
     /// such events.
-    pub(super) fn is_too_long(&self) -> bool {
+    pub fn is_too_long(&self) -> bool {
         self.partial.len() > MAX_EVENT
     }
 
     /// Takes out the bytes of the event that has not ended.
-    pub(super) fn take_partial(&mut self) -> Bytes {
+    pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
     }
 
     /// Discards the bytes of the event that has not ended. Returns the id of the last event that
     /// was passed on.
-    pub(super) fn discard_partial(&mut self) -> Option<&str> {
+    pub fn discard_partial(&mut self) -> Option<&str> {
         self.partial.clear();
         self.last_id.as_deref()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 #[macro_use]
 mod macros;
 
+pub mod answer;
 pub mod cli;
 pub mod config;
 pub mod fair;
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -29,10 +29,6 @@
 use hyper::{
     Request,
     body::Incoming,
-    header::{
-        CONTENT_LENGTH,
-        TRANSFER_ENCODING, //
-    },
     http::response, //
 };
 
@@ -41,6 +37,10 @@
     process::Decision, //
 };
 use crate::{
+    answer::{
+        Flaw,
+        Progress, //
+    },
     ids::Target,
     platform::{
         self,
@@ -52,6 +52,10 @@
             Connections,
             Sender, //
         },
+        ending::{
+            judge_end,
+            start_progress, //
+        },
         fields::strip_hop_by_hop,
         intake::GROWTH_FACTOR,
         memory::with_reservation, //
@@ -74,9 +78,9 @@
     pub(super) data: Bytes,
     /// The part of the body that is still to be read, if any.
     pub(super) remaining: Option<Incoming>,
-    /// Whether the answer is an event stream with neither a length nor chunks, whose end is that of
-    /// its connection.
-    pub(super) unframed: bool,
+    /// What has arrived of the body, to judge its end.
+    pub(super) progress: Progress,
+    pub(super) target: Target,
     /// The connection, while the body is not read to its end.
     pub(super) sender: Option<Sender>,
     /// The connection pool that gets the connection back afterwards.
@@ -148,40 +152,44 @@
                 return AttemptResult::Failed(Fault::Moved);
             }
         }
-        self.read_beginning(head, body, sender, connections).await
+        let progress = start_progress(&head, &body, self.request.stream);
+        let answer = Answer {
+            head,
+            data: Bytes::new(),
+            remaining: Some(body),
+            progress,
+            target,
+            sender: Some(sender),
+            connections,
+        };
+        self.read_beginning(answer).await
     }
 
     /// Reads a small answer whole, or the first bytes of a stream or of a large answer.
-    async fn read_beginning(
-        &mut self,
-        head: response::Parts,
-        mut body: Incoming,
-        sender: Sender,
-        connections: Rc<Connections>,
-    ) -> AttemptResult {
-        let unframed = self.request.stream && head.status.is_success() && is_unframed(&head);
+    async fn read_beginning(&mut self, mut answer: Answer) -> AttemptResult {
         let mut data = BytesMut::new();
         // Without a memory reservation, the answer is passed on as it arrives.
         let mut reservation = self.process.memory.reserve(0);
-        let complete = loop {
+        while let Some(body) = &mut answer.remaining {
             let frame = std::pin::pin!(body.frame());
             let frame = match unless_abandoned(frame, &mut self.decisions).await {
                 Ok(frame) => frame,
                 Err(result) => return result,
             };
             match frame {
-                // A stream without an event was broken off.
-                None if unframed && data.is_empty() => {
-                    self.process.check_target(self.sequence).await;
-                    return AttemptResult::Failed(Fault::Lost);
+                None if self.judge_end(&answer).await.is_ok() => {
+                    answer.remaining = None;
+                    if let Some(sender) = answer.sender.take() {
+                        answer.connections.put_idle(sender, &answer.head.headers);
+                    }
                 }
-                None => break true,
-                Some(Err(_)) => {
+                None | Some(Err(_)) => {
                     self.process.check_target(self.sequence).await;
                     return AttemptResult::Failed(Fault::Lost);
                 }
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        answer.progress.push(&bytes);
                         data.extend_from_slice(&bytes);
                     }
                 }
@@ -190,26 +198,30 @@
                 .as_mut()
                 .is_some_and(|reservation| reservation.grow(data.len() * GROWTH_FACTOR));
             if self.request.stream && !data.is_empty() || data.len() > MAX_BUFFERED || !buffered {
-                break false;
+                break;
             }
+        }
+        answer.data = match reservation {
+            Some(reservation) => with_reservation(data.freeze(), reservation),
+            None => data.freeze(),
         };
-        let (remaining, sender) = if complete {
-            connections.put_idle(sender, &head.headers);
-            (None, None)
-        } else {
-            (Some(body), Some(sender))
-        };
-        AttemptResult::Answered(Box::new(Answer {
-            head,
-            data: match reservation {
-                Some(reservation) => with_reservation(data.freeze(), reservation),
-                None => data.freeze(),
-            },
-            remaining,
-            unframed,
-            sender,
-            connections,
-        }))
+        AttemptResult::Answered(Box::new(answer))
+    }
+
+    /// Judges an answer whose body has ended without an error.
+    ///
+    /// # Errors
+    ///
+    /// Returns what shows that the answer is not whole.
+    pub(super) async fn judge_end(&self, answer: &Answer) -> Result<(), Flaw> {
+        let is_leaving = || self.process.is_leaving(answer.target);
+        let request = &self.request.id;
+        let (judged, took) =
+            judge_end(request, &answer.progress, &answer.connections, is_leaving).await;
+        if answer.progress.is_unframed() {
+            self.process.metrics.observe_end_check(took);
+        }
+        judged
     }
 
     /// Builds the request for a target; `resume` is the id of the last event that the caller has
@@ -232,12 +244,6 @@
     }
 }
 
-/// Returns whether an answer ends with its connection.
-fn is_unframed(head: &response::Parts) -> bool {
-    let headers = &head.headers;
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Awaits the beginning of an answer, unless the pool abandons the attempt or the request expires.
 async fn unless_abandoned<F: Future + Unpin>(
     work: F,
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -186,10 +186,11 @@
         self.process.first_byte(self.sequence);
         self.process.metrics.observe_first_byte(self.elapsed());
         log::info!(
-            "event=first request={} sequence={} took_ms={}",
+            "event=first request={} sequence={} took_ms={} framing={}",
             self.request.id,
             self.sequence,
             self.elapsed().as_millis(),
+            answer.progress.framing(),
         );
         if !self.request.resumable {
             // The request is not sent again, so its body is no longer needed.
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -26,6 +26,7 @@
     wait: Histogram,
     first_byte: Histogram,
     total: Histogram,
+    end_check: Histogram,
     pub(super) active: IntGauge,
     pub(super) generation: IntGauge,
     pub(super) rules_age: IntGauge,
@@ -79,6 +80,10 @@
                 "redwingyard_total_seconds",
                 "Time from arrival to the end of the answer.",
             ),
+            end_check: histogram(
+                "redwingyard_end_check_seconds",
+                "Time to learn the state of the target of an answer that ended with its connection.",
+            ),
             active: gauge("redwingyard_requests", "Requests that have not ended."),
             generation: gauge("redwingyard_generation", "Generation in force."),
             rules_age: gauge(
@@ -129,6 +134,10 @@
         self.total.observe(time.as_secs_f64());
     }
 
+    pub(super) fn observe_end_check(&self, time: Duration) {
+        self.end_check.observe(time.as_secs_f64());
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(super) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod attempt;
 mod call;
 mod decision_line;
-mod events;
 mod freshness;
 mod front;
 mod metrics;
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -1,5 +1,7 @@
 //! Passes an answer on to the caller as it arrives, and continues a stream at another target.
 
+use std::fmt::Display;
+
 use bytes::Bytes;
 use futures_util::{
     StreamExt,
@@ -15,14 +17,13 @@
         unless_expired, //
     },
     call::Call,
-    events::{
-        self,
-        EventBoundary,
-        EventSplitter, //
-    },
     process::Decision, //
 };
 use crate::{
+    answer::{
+        EventSplitter,
+        count_events, //
+    },
     pool::Fault,
     shell::body::{
         Body,
@@ -36,8 +37,6 @@
     answer: Answer,
     /// Splits the stream into events, where its route allows that another target continues it.
     splitter: Option<EventSplitter>,
-    /// Where the answer so far ends.
-    boundary: EventBoundary,
     /// Whether the body has ended.
     done: bool,
 }
@@ -49,7 +48,6 @@
         call,
         answer,
         splitter,
-        boundary: EventBoundary::default(),
         done: false,
     };
     Body::Relay(unfold(relay, next_frame).boxed_local())
@@ -62,13 +60,12 @@
     }
     loop {
         let data = std::mem::take(&mut relay.answer.data);
-        relay.boundary.push(&data);
         let whole = match &mut relay.splitter {
             Some(splitter) => splitter.push(data),
             None => data,
         };
         if !whole.is_empty() {
-            let count = events::count(&whole);
+            let count = count_events(&whole);
             relay.call.process.count_events(relay.call.sequence, count);
             return Some((Ok(Frame::data(whole)), relay));
         }
@@ -109,31 +106,35 @@
         };
         let frame = std::pin::pin!(body.frame());
         match unless_expired(frame, &mut self.call.decisions).await {
-            Ok(None) if self.answer.unframed && !self.boundary.is_reached() => {
-                let id = &self.call.request.id;
-                log::info!("event=stream-broken request={id} error=\"it ended inside an event\"");
-                self.call.process.check_target(self.call.sequence).await;
-                self.resume().await.map(|()| true)
-            }
-            Ok(None) => Ok(false),
+            Ok(None) => match self.call.judge_end(&self.answer).await {
+                Ok(()) => Ok(false),
+                Err(flaw) => self.recover(&flaw).await,
+            },
             Ok(Some(Ok(frame))) => {
                 self.answer.data = frame.into_data().unwrap_or_default();
+                self.answer.progress.push(&self.answer.data);
                 Ok(true)
             }
-            Ok(Some(Err(err))) => {
-                let id = &self.call.request.id;
-                log::info!("event=stream-broken request={id} error=\"{err}\"");
-                self.call.process.check_target(self.call.sequence).await;
-                self.resume().await.map(|()| true)
-            }
+            Ok(Some(Err(err))) => self.recover(&err).await,
             Err(AttemptResult::Expired) => Err(Truncated),
             Err(_) => self.resume().await.map(|()| true),
         }
     }
 
+    /// Finds out what has become of the target of an answer that broke off, and continues the answer
+    /// elsewhere.
+    async fn recover(&mut self, cause: &impl Display) -> Result<bool, Truncated> {
+        log::info!(
+            "event=stream-broken request={} framing={} error=\"{cause}\"",
+            self.call.request.id,
+            self.answer.progress.framing(),
+        );
+        self.call.process.check_target(self.call.sequence).await;
+        self.resume().await.map(|()| true)
+    }
+
     /// Continues the stream at another target after the last whole event, if its route allows it.
     async fn resume(&mut self) -> Result<(), Truncated> {
-        self.boundary = EventBoundary::default();
         // The connection can't be reused; dropping it closes it, so that the target can stop.
         self.answer.remaining = None;
         self.answer.sender = None;
@@ -155,6 +156,12 @@
             match self.call.attempt(target, last_id.as_deref()).await {
                 AttemptResult::Answered(answer) if answer.head.status.is_success() => {
                     self.call.process.first_byte(self.call.sequence);
+                    log::info!(
+                        "event=continued request={} framing={} last_event={}",
+                        self.call.request.id,
+                        answer.progress.framing(),
+                        last_id.as_deref().unwrap_or("-"),
+                    );
                     self.answer = *answer;
                     return Ok(());
                 }
--- a/src/shell/gateway/targets.rs
+++ b/src/shell/gateway/targets.rs
@@ -78,6 +78,12 @@
         (available && !listing.draining).then_some(listing)
     }
 
+    /// Returns whether a target is known to stop: it drains, or is no longer registered.
+    pub(super) fn is_leaving(&self, target: Target) -> bool {
+        self.apply_updates();
+        self.target(target).is_none_or(|listing| listing.draining)
+    }
+
     /// Marks a target whose address another target has answered at; it gets no more requests.
     pub(super) fn mark_moved(&self, target: Target) {
         let change = self.feed.borrow_mut().moved(target);
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod clock;
 mod dial;
+mod ending;
 mod fields;
 mod front;
 mod gateway;
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -34,7 +34,11 @@
         "expire" => "its time was over",
         "attempt-error" => "the attempt broke:",
         "attempt-failed" => "the attempt failed:",
-        "stream-broken" => "the stream broke:",
+        "stream-broken" => "the answer broke off:",
+        "unframed-end" => {
+            "the answer, with neither a length nor chunks, ended with its connection:"
+        }
+        "continued" => "another target continued the stream:",
         "reject" => "rejected it before it was queued:",
         "end" => "ended it:",
         "start" => "(the process started)",
