Take an answer without framing as broken off if its target crashed at its end

Callers saw: a plain answer with neither a length nor chunks, or a stream that ended between two events, framed as complete although its target had crashed. Cause: an end of the connection in order counted as the end of such an answer, whatever had become of the target; the kernel closes the connections of a process that crashes in order as well. Change: Progress::judge, the one place that decides, takes the state of the target into account. If nothing listens at its address any more, and it is not known to stop, the answer is broken off: sent elsewhere or continued where its route allows it, else 502 or visibly cut.

--- a/src/answer/progress.rs
+++ b/src/answer/progress.rs
@@ -100,7 +100,13 @@
     /// # Errors
     ///
     /// Returns what shows that the answer is not whole.
-    pub fn judge(&self, _target: TargetState) -> Result<(), Flaw> {
-        self.flaw().map_or(Ok(()), Err)
+    pub fn judge(&self, target: TargetState) -> Result<(), Flaw> {
+        match self.flaw() {
+            Some(flaw) => Err(flaw),
+            None if self.is_unframed() && target == TargetState::Crashed => {
+                Err(Flaw::TargetCrashed)
+            }
+            None => Ok(()),
+        }
     }
 }
