Reset the connection of an HTTP/1.0 caller whose answer broke off

Callers saw: with HTTP/1.0, each answer that broke off after it had begun looked complete, at gateways and routers, whatever its target's framing. Cause: HTTP/1.0 has no chunks, so hyper ends a body of unknown length with the connection, and closes it in order after an error of the body too. Change: while such a body is sent, the connection is set to end with a reset; it ends in order only once the body has. So a process that is killed meanwhile cuts such answers visibly as well. Answers of known length and HTTP/1.1 callers are untouched.

--- a/src/shell/body.rs
+++ b/src/shell/body.rs
@@ -18,12 +18,20 @@
     Stream,
     stream::LocalBoxStream, //
 };
-use hyper::body::{
-    Frame,
-    SizeHint, //
+use hyper::{
+    Response,
+    Version,
+    body::{
+        Frame,
+        SizeHint, //
+    },
+    header::CONTENT_LENGTH, //
 };
 
-use super::fields::to_header_map;
+use super::{
+    fields::to_header_map,
+    stream::ResetHandle, //
+};
 use crate::router::Reply;
 
 /// The error of an answer that ended early. hyper then closes the connection without the end mark
@@ -71,6 +79,8 @@
     Streamed(Box<Streamed>),
     /// A body that arrives from a target to which a gateway has sent the request itself.
     Relay(LocalBoxStream<'static, Result<Frame<Bytes>, Truncated>>),
+    /// A body that ends with its connection, which is reset unless the body ends in order.
+    CloseDelimited(Box<Body>, ResetHandle),
 }
 
 impl Body {
@@ -79,6 +89,21 @@
     }
 }
 
+/// Returns the response for a caller with this version of HTTP. HTTP/1.0 has no chunks, so a body
+/// whose length is not known ends with its connection.
+pub(super) fn for_version(
+    response: Response<Body>,
+    version: Version,
+    reset: &ResetHandle,
+) -> Response<Body> {
+    let sized =
+        matches!(response.body(), Body::Full(_)) || response.headers().contains_key(CONTENT_LENGTH);
+    match version == Version::HTTP_10 && !sized {
+        true => response.map(|body| Body::CloseDelimited(Box::new(body), reset.clone())),
+        false => response,
+    }
+}
+
 impl hyper::body::Body for Body {
     type Data = Bytes;
     type Error = Truncated;
@@ -92,6 +117,19 @@
                 return Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))));
             }
             Body::Relay(frames) => return frames.as_mut().poll_next(cx),
+            Body::CloseDelimited(body, reset) => {
+                reset.arm();
+                let polled = Pin::new(&mut **body).poll_frame(cx);
+                let ended = match &polled {
+                    Poll::Ready(Some(Ok(frame))) => frame.is_trailers(),
+                    Poll::Ready(None) => true,
+                    _ => false,
+                };
+                if ended {
+                    reset.disarm();
+                }
+                return polled;
+            }
             Body::Streamed(answer) => answer,
         };
         let reply = match answer.buffered.is_empty() {
@@ -125,7 +163,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Body::Streamed(_) | Body::Relay(_) => SizeHint::default(),
+            Body::Streamed(_) | Body::Relay(_) | Body::CloseDelimited(..) => SizeHint::default(),
         }
     }
 }
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -58,6 +58,7 @@
     shell::{
         StartError,
         admin,
+        body,
         intake::{
             IDLE_LIMIT,
             MAX_READ, //
@@ -311,13 +312,16 @@
         Ok(stream) => stream.with_max_read(MAX_READ).record_empty(drained.clone()),
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
+    let reset = stream.reset_handle();
     let limit = process.rules().limit(Limit::HeaderBytes);
     let max_head = limit.map_or(DEFAULT_MAX_HEAD, |limit| limit as usize);
     let service = service_fn(|request: Request<Incoming>| {
         let (process, callers) = (process.clone(), callers.clone());
         let arrived = process.earliest_arrival(drained.at());
+        let (version, reset) = (request.version(), reset.clone());
         async move {
-            let mut response = front::handle(process.clone(), request, arrived).await;
+            let response = front::handle(process.clone(), request, arrived).await;
+            let mut response = body::for_version(response, version, &reset);
             close_if_near_limit(&callers.memory, callers.max_connections, &mut response);
             if process.is_stopping() {
                 set_connection_close(&mut response);
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -34,6 +34,8 @@
     unbounded, //
 };
 use hyper::{
+    Request,
+    body::Incoming,
     server::conn::http1,
     service::service_fn, //
 };
@@ -43,6 +45,7 @@
     KeyError,
     Vm,
     admin,
+    body,
     front,
     intake::{
         IDLE_LIMIT,
@@ -601,10 +604,15 @@
         Ok(stream) => stream.with_max_read(MAX_READ),
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
-    let service = service_fn(|request| async move {
-        let mut response = front::handle(process.clone(), request).await;
-        memory::close_if_near_limit(&process.memory, max_connections, &mut response);
-        Ok::<_, std::convert::Infallible>(response)
+    let reset = stream.reset_handle();
+    let service = service_fn(|request: Request<Incoming>| {
+        let (version, reset) = (request.version(), reset.clone());
+        async move {
+            let response = front::handle(process.clone(), request).await;
+            let mut response = body::for_version(response, version, &reset);
+            memory::close_if_near_limit(&process.memory, max_connections, &mut response);
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD)
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -19,7 +19,8 @@
         Context,
         Poll,
         ready, //
-    }, //
+    },
+    time::Duration, //
 };
 
 use compio::{
@@ -100,6 +101,11 @@
         ShutdownGuard(Rc::downgrade(&self.socket))
     }
 
+    /// Returns a handle that chooses how the connection ends.
+    pub(super) fn reset_handle(&self) -> ResetHandle {
+        ResetHandle(Rc::downgrade(&self.socket))
+    }
+
     /// Records from now on when a read finds the receive queue empty.
     pub(super) fn record_empty(mut self, last_empty: LastEmpty) -> Self {
         self.last_empty = Some(last_empty);
@@ -120,6 +126,30 @@
     }
 }
 
+/// Chooses how a connection ends, so that a caller can tell the end of an answer from a break where
+/// nothing else says so.
+#[derive(Clone, Debug)]
+pub(super) struct ResetHandle(Weak<PollFd<Socket>>);
+
+impl ResetHandle {
+    /// Makes the connection end with a reset, also if this process is killed.
+    pub(super) fn arm(&self) {
+        self.set_linger(Some(Duration::ZERO));
+    }
+
+    /// Makes the connection end in order again.
+    pub(super) fn disarm(&self) {
+        self.set_linger(None);
+    }
+
+    fn set_linger(&self, linger: Option<Duration>) {
+        if let Some(socket) = self.0.upgrade() {
+            // Fails if the peer has already closed the connection, which needs no action.
+            let _ = socket.set_linger(linger);
+        }
+    }
+}
+
 impl Read for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
