See events end with each line end that the format allows

Callers saw: a resumable stream whose events end with CR LF or CR arrived only at its end, all at once, and could not be continued after a break; one without framing whose events end with CR CR was taken for broken off. Two blank lines alone counted as an event. Cause: the splitter knew LF LF only, the check for the end of a stream CR LF CR LF as well: two readings of one format. Change: one scanner for both, by lines; it also counts events, over the pieces of a stream.

--- a/src/answer/events.rs
+++ b/src/answer/events.rs
@@ -8,53 +8,90 @@
 
 use super::Flaw;
 
-/// The bytes that end an event (the HTML standard's event stream format).
-const EVENT_END: &[u8] = b"\n\n";
-
-/// The same with the other line ending that the format allows.
-const EVENT_END_CRLF: &[u8] = b"\r\n\r\n";
-
 /// The longest event that is buffered, in bytes: the text of some hundred tokens.
 const MAX_EVENT: usize = 64 << 10;
 
 const ID_FIELD: &[u8] = b"id:";
 
-/// Returns the number of events that end in a piece of a stream.
-pub fn count_events(data: &[u8]) -> u32 {
-    data.windows(EVENT_END.len())
-        .filter(|window| *window == EVENT_END)
-        .count() as u32
+/// Finds the blank lines that end events (the HTML standard's event stream format). A line ends with
+/// LF, CR LF or CR.
+#[derive(Debug)]
+pub(super) struct EventScanner {
+    /// Whether the current line has no byte yet.
+    line_empty: bool,
+    /// Whether the last byte was a CR, so that an LF belongs to the same line end.
+    after_cr: bool,
+    /// Whether the last line end was that of a blank line.
+    at_boundary: bool,
+    /// Whether any line was not blank.
+    has_text: bool,
 }
 
-/// Tells whether the bytes of a stream so far end between two events.
-#[derive(Debug, Default)]
-pub(super) struct EventBoundary {
-    /// The last bytes, as many as the longest end of an event has.
-    tail: Vec<u8>,
+impl Default for EventScanner {
+    fn default() -> Self {
+        Self {
+            line_empty: true,
+            after_cr: false,
+            at_boundary: false,
+            has_text: false,
+        }
+    }
 }
 
-impl EventBoundary {
-    /// Adds bytes of the stream.
-    pub(super) fn push(&mut self, data: &[u8]) {
-        let added = data.len().saturating_sub(EVENT_END_CRLF.len());
-        self.tail.extend_from_slice(&data[added..]);
-        let surplus = self.tail.len().saturating_sub(EVENT_END_CRLF.len());
-        self.tail.drain(..surplus);
+impl EventScanner {
+    /// Adds bytes of the stream. Returns how many of them the last event that ends in them reaches,
+    /// and how many events end in them.
+    pub(super) fn push(&mut self, data: &[u8]) -> (usize, u32) {
+        let mut end = 0;
+        let mut count = 0;
+        for (i, &byte) in data.iter().enumerate() {
+            match byte {
+                b'\n' if self.after_cr => self.after_cr = false,
+                b'\n' | b'\r' => {
+                    count += u32::from(self.line_empty && !self.at_boundary);
+                    self.at_boundary = self.line_empty;
+                    self.line_empty = true;
+                    self.after_cr = byte == b'\r';
+                }
+                _ => {
+                    *self = Self {
+                        line_empty: false,
+                        after_cr: false,
+                        at_boundary: false,
+                        has_text: true,
+                    }
+                }
+            }
+            if self.at_boundary {
+                end = i + 1;
+            }
+        }
+        (end, count)
     }
 
     /// Returns what a stream that ends here lacks.
     pub(super) fn flaw(&self) -> Option<Flaw> {
-        if self.tail.is_empty() {
-            return Some(Flaw::NoEvent);
+        match (self.has_text, self.at_boundary) {
+            (false, _) => Some(Flaw::NoEvent),
+            (true, false) => Some(Flaw::InsideEvent),
+            (true, true) => None,
         }
-        let whole = self.tail.ends_with(EVENT_END) || self.tail.ends_with(EVENT_END_CRLF);
-        (!whole).then_some(Flaw::InsideEvent)
     }
 }
 
 /// Splits a stream so that only whole events are passed on.
+///
+/// ```
+/// use bytes::Bytes;
+/// use redwingyard::answer::EventSplitter;
+/// let mut splitter = EventSplitter::default();
+/// let whole = splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
+/// assert_eq!(whole, "id: 1\ndata: a\n\n");
+/// assert_eq!(splitter.discard_partial(), Some("1"));
+/// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     /// The beginning of an event whose end has not arrived.
     partial: BytesMut,
     /// The id of the last event that was passed on.
@@ -64,15 +101,12 @@
 impl EventSplitter {
     /// Adds bytes of the stream. Returns all events that are complete now.
     pub fn push(&mut self, data: Bytes) -> Bytes {
+        let (end, _) = self.scanner.push(&data);
         let whole = match self.partial.is_empty() {
-            true if data.ends_with(EVENT_END) => data,
+            true if end == data.len() => data,
             _ => {
-                // The end of an event may begin in the old bytes and end in the new ones.
-                let from = self.partial.len().saturating_sub(EVENT_END.len() - 1);
+                let length = if end > 0 { self.partial.len() + end } else { 0 };
                 self.partial.extend_from_slice(&data);
-                let ends = self.partial[from..].windows(EVENT_END.len());
-                let last_end = ends.rposition_of(EVENT_END);
-                let length = last_end.map_or(0, |at| from + at + EVENT_END.len());
                 self.partial.split_to(length).freeze()
             }
         };
@@ -97,41 +131,15 @@
     /// was passed on.
     pub fn discard_partial(&mut self) -> Option<&str> {
         self.partial.clear();
+        self.scanner = EventScanner::default();
         self.last_id.as_deref()
     }
 }
 
-/// Finds the last occurrence of a pattern among windows of bytes.
-trait LastOf {
-    fn rposition_of(self, pattern: &[u8]) -> Option<usize>;
-}
-
-impl LastOf for std::slice::Windows<'_, u8> {
-    fn rposition_of(mut self, pattern: &[u8]) -> Option<usize> {
-        self.rposition(|window| window == pattern)
-    }
-}
-
 /// Returns the last id in a sequence of events.
 fn find_last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
+    let lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     Some(id.trim().to_owned())
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_whole_events_are_passed_on() {
-        let mut splitter = EventSplitter::default();
-        let whole = splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
-        assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
-        assert_eq!(splitter.discard_partial(), Some("1"));
-        let whole = splitter.push(Bytes::from_static(b"id: 2\ndata: b\n\n"));
-        assert_eq!(&whole[..], b"id: 2\ndata: b\n\n");
-        assert_eq!(splitter.discard_partial(), Some("2"));
-    }
-}
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -8,10 +8,7 @@
 mod framing;
 mod progress;
 
-pub use events::{
-    EventSplitter,
-    count_events, //
-};
+pub use events::EventSplitter;
 pub use framing::Framing;
 pub use progress::{
     Flaw,
--- a/src/answer/progress.rs
+++ b/src/answer/progress.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Framing,
-    events::EventBoundary, //
+    events::EventScanner, //
 };
 
 /// What is known of a target at the moment at which a connection to it has ended.
@@ -57,7 +57,7 @@
 pub struct Progress {
     framing: Framing,
     stream: bool,
-    boundary: EventBoundary,
+    scanner: EventScanner,
 }
 
 impl Progress {
@@ -66,7 +66,7 @@
         Self {
             framing,
             stream,
-            boundary: EventBoundary::default(),
+            scanner: EventScanner::default(),
         }
     }
 
@@ -80,17 +80,18 @@
         self.framing == Framing::Connection
     }
 
-    /// Adds bytes of the body.
-    pub fn push(&mut self, data: &[u8]) {
-        if self.is_unframed() && self.stream {
-            self.boundary.push(data);
+    /// Adds bytes of the body. Returns how many events end in them, for an event stream.
+    pub fn push(&mut self, data: &[u8]) -> u32 {
+        match self.stream {
+            true => self.scanner.push(data).1,
+            false => 0,
         }
     }
 
     /// Returns what the bytes so far lack, if the connection ends here.
     pub fn flaw(&self) -> Option<Flaw> {
         match self.is_unframed() && self.stream {
-            true => self.boundary.flaw(),
+            true => self.scanner.flaw(),
             false => None,
         }
     }
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -76,6 +76,8 @@
     pub(super) head: response::Parts,
     /// The part of the body that has been read and not passed on.
     pub(super) data: Bytes,
+    /// The number of events that have ended in what was read and are not counted yet.
+    pub(super) events: u32,
     /// The part of the body that is still to be read, if any.
     pub(super) remaining: Option<Incoming>,
     /// What has arrived of the body, to judge its end.
@@ -156,6 +158,7 @@
         let answer = Answer {
             head,
             data: Bytes::new(),
+            events: 0,
             remaining: Some(body),
             progress,
             target,
@@ -189,7 +192,7 @@
                 }
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
-                        answer.progress.push(&bytes);
+                        answer.events += answer.progress.push(&bytes);
                         data.extend_from_slice(&bytes);
                     }
                 }
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -20,10 +20,7 @@
     process::Decision, //
 };
 use crate::{
-    answer::{
-        EventSplitter,
-        count_events, //
-    },
+    answer::EventSplitter,
     pool::Fault,
     shell::body::{
         Body,
@@ -65,7 +62,7 @@
             None => data,
         };
         if !whole.is_empty() {
-            let count = count_events(&whole);
+            let count = std::mem::take(&mut relay.answer.events);
             relay.call.process.count_events(relay.call.sequence, count);
             return Some((Ok(Frame::data(whole)), relay));
         }
@@ -112,7 +109,7 @@
             },
             Ok(Some(Ok(frame))) => {
                 self.answer.data = frame.into_data().unwrap_or_default();
-                self.answer.progress.push(&self.answer.data);
+                self.answer.events += self.answer.progress.push(&self.answer.data);
                 Ok(true)
             }
             Ok(Some(Err(err))) => self.recover(&err).await,
