Don't state the first target's length for a stream that another target continues

Callers saw: a resumable stream with a length whose target broke it off was continued, but cut at the length that the first target had stated, and then looked complete; or it was shorter, and looked broken off though it was whole. Clients of HTTP/1.0 likewise. Cause: the gateway passed on the first answer's Content-Length, which holds for the first target's events only; hyper drops what exceeds it without an error. Change: such a stream is sent in chunks.

--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -208,7 +208,13 @@
         }
         let mut head = answer.head.clone();
         let body = match answer.remaining.is_some() {
-            true => relay(self, answer),
+            true => {
+                if self.request.resumable && status.is_success() {
+                    // Another target may continue the stream with events of other lengths.
+                    head.headers.remove(CONTENT_LENGTH);
+                }
+                relay(self, answer)
+            }
             false => {
                 let outcome = if status.is_success() {
                     "answered"
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -10,6 +10,7 @@
     },
     net::{
         SocketAddr,
+        TcpListener,
         TcpStream, //
     },
     thread,
@@ -323,3 +324,93 @@
     }
     assert!(wrong.is_empty(), "{}: {}", wrong.len(), wrong.join("\n"));
 }
+
+/// A stream that breaks off after its first event, and the answer of the next target.
+struct Continued {
+    /// What the first target sends before it closes the connection.
+    first: &'static str,
+    /// What a target sends that is asked to continue.
+    second: &'static str,
+    /// What the caller gets.
+    body: &'static str,
+    complete: bool,
+}
+
+/// Answers each request with the same bytes, others if it asks for the rest of a stream, and closes
+/// its connection.
+fn serve_two(first: &'static str, second: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let answer = |mut stream: TcpStream| -> std::io::Result<()> {
+                let mut request = [0; 4_096];
+                let length = stream.read(&mut request)?;
+                let request = String::from_utf8_lossy(&request[..length]);
+                let text = match request.contains("last-event-id: 1\r\n") {
+                    true => second,
+                    false => first,
+                };
+                stream.write_all(text.as_bytes())
+            };
+            // The gateway may close a connection that it has opened ahead of a request.
+            let _ = stream.and_then(answer);
+        }
+    });
+    address
+}
+
+/// Another target continues a stream. The caller must get each event once, in order, and may take
+/// the stream for whole only where the second answer is.
+#[rstest]
+#[case::longer_than_the_first_target_said(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 30\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 20\r\n\r\nid: 2\ndata: longer\n\n",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: longer\n\n", complete: true,
+})]
+#[case::shorter_than_the_first_target_said(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: true,
+})]
+#[case::without_framing(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: true,
+})]
+#[case::with_nothing_left(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 0\r\n\r\n",
+    body: "id: 1\ndata: a\n\n", complete: true,
+})]
+#[case::with_nothing_and_without_framing(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::with_another_status(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 410 Gone\r\nrequest-id: r\r\ncontent-length: 4\r\n\r\ngone",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+fn a_continued_stream_has_each_event_once_and_does_not_look_complete_early(
+    #[case] case: Continued,
+) {
+    let config = config(&RESUMABLE, 1);
+    let region = Region::start(1, "web", vec![Instance::new("i-1")], &config, |_| {});
+    for name in ["i-raw-1", "i-raw-2"] {
+        let target = serve_two(case.first, case.second);
+        gateways::register(&region.items, name, "raw-0", target, "ready");
+    }
+    thread::sleep(Duration::from_millis(300));
+    let address = region.gateways[0].addresses.http;
+    for caller in [Caller::Http11, Caller::Http10] {
+        let fields = [HOST, ("request-id", "r")];
+        let outcome = caller.ask(address, "GET", "/resume/0/1", &fields);
+        assert_eq!(
+            (&outcome.body[..], outcome.complete),
+            (case.body, case.complete),
+            "{caller:?}"
+        );
+    }
+}
