Don't join an answer with one that does not continue it

Callers saw: a resumable stream that was continued at a target which began it again had its first events twice and looked complete; a failure that broke off had the events of another target's success appended, also to its stated length, and looked complete. Cause: the gateway asked for the rest of any answer on a resumable route, and believed the next target that it had sent the rest. Change: a continuation whose first id does not follow the last one is a failed attempt; only a success is continued. Evidence: the cases that_begins_again and after_a_failure of a_continued_stream_... failed before.

--- a/src/answer/events.rs
+++ b/src/answer/events.rs
@@ -5,6 +5,10 @@
     Bytes,
     BytesMut, //
 };
+use derive_more::{
+    Display,
+    Error, //
+};
 
 use super::Flaw;
 
@@ -79,15 +83,22 @@
     }
 }
 
+/// The error of a stream that was to be continued and began again before its last event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("the stream began again instead of going on")]
+pub struct Repeated;
+
 /// Splits a stream so that only whole events are passed on.
 ///
 /// ```
 /// use bytes::Bytes;
 /// use redwingyard::answer::EventSplitter;
 /// let mut splitter = EventSplitter::default();
-/// let whole = splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
+/// let whole = splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"))?;
 /// assert_eq!(whole, "id: 1\ndata: a\n\n");
-/// assert_eq!(splitter.discard_partial(), Some("1"));
+/// assert_eq!(splitter.start_continuation(), Some("1"));
+/// assert!(splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\n")).is_err());
+/// # Ok::<(), redwingyard::answer::Repeated>(())
 /// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -96,11 +107,17 @@
     partial: BytesMut,
     /// The id of the last event that was passed on.
     last_id: Option<String>,
+    /// Whether the next event is the first one of a continuation.
+    continues: bool,
 }
 
 impl EventSplitter {
     /// Adds bytes of the stream. Returns all events that are complete now.
-    pub fn push(&mut self, data: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a continuation begins with an event that was passed on before.
+    pub fn push(&mut self, data: Bytes) -> Result<Bytes, Repeated> {
         let (end, _) = self.scanner.push(&data);
         let whole = match self.partial.is_empty() {
             true if end == data.len() => data,
@@ -110,10 +127,19 @@
                 self.partial.split_to(length).freeze()
             }
         };
-        if let Some(id) = find_last_id(&whole) {
-            self.last_id = Some(id);
+        if self.continues && !whole.is_empty() {
+            self.continues = false;
+            let first = ids(&whole).next();
+            if let (Some(last), Some(first)) = (&self.last_id, first)
+                && is_repeated(last, first)
+            {
+                return Err(Repeated);
+            }
+        }
+        if let Some(id) = ids(&whole).last() {
+            self.last_id = Some(id.to_owned());
         }
-        whole
+        Ok(whole)
     }
 
     /// Returns whether the event that has not ended is longer than [`MAX_EVENT`]; no target sends
@@ -127,19 +153,28 @@
         self.partial.split().freeze()
     }
 
-    /// Discards the bytes of the event that has not ended. Returns the id of the last event that
-    /// was passed on.
-    pub fn discard_partial(&mut self) -> Option<&str> {
+    /// Discards the bytes of the event that has not ended, as another target continues the stream.
+    /// Returns the id of the last event that was passed on.
+    pub fn start_continuation(&mut self) -> Option<&str> {
         self.partial.clear();
         self.scanner = EventScanner::default();
+        self.continues = true;
         self.last_id.as_deref()
     }
 }
 
-/// Returns the last id in a sequence of events.
-fn find_last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = std::str::from_utf8(ids.next()?).ok()?;
-    Some(id.trim().to_owned())
+/// Returns the ids in a sequence of events.
+fn ids(events: &[u8]) -> impl Iterator<Item = &str> {
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    ids.filter_map(|id| Some(std::str::from_utf8(id).ok()?.trim()))
+}
+
+/// Returns whether an event with the id `next` does not follow the one with the id `last`; numbers
+/// increase.
+fn is_repeated(last: &str, next: &str) -> bool {
+    match (last.parse::<u64>(), next.parse::<u64>()) {
+        (Ok(last), Ok(next)) => next <= last,
+        _ => next == last,
+    }
 }
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -8,7 +8,10 @@
 mod framing;
 mod progress;
 
-pub use events::EventSplitter;
+pub use events::{
+    EventSplitter,
+    Repeated, //
+};
 pub use framing::Framing;
 pub use progress::{
     Flaw,
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -40,7 +40,8 @@
 
 /// Returns the response body that passes an answer on.
 pub(super) fn relay(call: Call, answer: Answer) -> Body {
-    let splitter = call.request.resumable.then(EventSplitter::default);
+    let resumable = call.request.resumable && answer.head.status.is_success();
+    let splitter = resumable.then(EventSplitter::default);
     let relay = Relay {
         call,
         answer,
@@ -57,22 +58,23 @@
     }
     loop {
         let data = std::mem::take(&mut relay.answer.data);
-        let whole = match &mut relay.splitter {
+        let split = match &mut relay.splitter {
             Some(splitter) => splitter.push(data),
-            None => data,
+            None => Ok(data),
         };
-        if !whole.is_empty() {
-            let count = std::mem::take(&mut relay.answer.events);
-            relay.call.process.count_events(relay.call.sequence, count);
-            return Some((Ok(Frame::data(whole)), relay));
-        }
         let too_long = relay
             .splitter
             .as_ref()
             .is_some_and(EventSplitter::is_too_long);
-        let read = match too_long {
-            true => relay.resume().await.map(|()| true),
-            false => relay.read().await,
+        let read = match split {
+            Ok(whole) if !whole.is_empty() => {
+                let count = std::mem::take(&mut relay.answer.events);
+                relay.call.process.count_events(relay.call.sequence, count);
+                return Some((Ok(Frame::data(whole)), relay));
+            }
+            Ok(_) if too_long => relay.resume().await.map(|()| true),
+            Ok(_) => relay.read().await,
+            Err(repeated) => relay.recover(&repeated).await,
         };
         match read {
             Ok(true) => {}
@@ -136,7 +138,7 @@
         self.answer.remaining = None;
         self.answer.sender = None;
         let last_id = match &mut self.splitter {
-            Some(splitter) => splitter.discard_partial().map(str::to_owned),
+            Some(splitter) => splitter.start_continuation().map(str::to_owned),
             None => return Err(Truncated),
         };
         loop {
--- a/tests/answer.rs
+++ b/tests/answer.rs
@@ -30,11 +30,12 @@
         let mut passed = Vec::new();
         let mut count = 0;
         for piece in [&text[..cut], &text[cut..]] {
-            passed.extend(splitter.push(Bytes::copy_from_slice(piece.as_bytes())));
+            let whole = splitter.push(Bytes::copy_from_slice(piece.as_bytes()));
+            passed.extend(whole.expect("no event is repeated"));
             count += progress.push(piece.as_bytes());
         }
         assert_eq!(String::from_utf8_lossy(&passed), text, "cut at {cut}");
-        assert_eq!(splitter.discard_partial(), Some("2"), "cut at {cut}");
+        assert_eq!(splitter.start_continuation(), Some("2"), "cut at {cut}");
         assert_eq!((count, progress.flaw()), (2, None), "cut at {cut}");
         // A stream that ends at the cut lacks nothing only between two events.
         let mut progress = Progress::new(Framing::Connection, true);
@@ -43,7 +44,7 @@
         let whole = splitter.push(Bytes::copy_from_slice(&text.as_bytes()[..cut]));
         let expected = match cut {
             0 => Some(Flaw::NoEvent),
-            _ if whole.len() == cut => None,
+            _ if whole.as_ref().is_ok_and(|whole| whole.len() == cut) => None,
             _ => Some(Flaw::InsideEvent),
         };
         assert_eq!(progress.flaw(), expected, "ends at {cut}");
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -378,6 +378,11 @@
     second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\nid: 2\ndata: b\n\n",
     body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: true,
 })]
+#[case::that_begins_again(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
 #[case::with_nothing_left(Continued {
     first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
     second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 0\r\n\r\n",
@@ -393,6 +398,11 @@
     second: "HTTP/1.1 410 Gone\r\nrequest-id: r\r\ncontent-length: 4\r\n\r\ngone",
     body: "id: 1\ndata: a\n\n", complete: false,
 })]
+#[case::after_a_failure(Continued {
+    first: "HTTP/1.1 410 Gone\r\nrequest-id: r\r\ncontent-length: 30\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
 fn a_continued_stream_has_each_event_once_and_does_not_look_complete_early(
     #[case] case: Continued,
 ) {
