--- a/examples/standin/scripted.rs
+++ b/examples/standin/scripted.rs
@@ -30,6 +30,9 @@
 /// The time after which bytes that were written have been read.
 const FLUSH_TIME: Duration = Duration::from_millis(15);
 
+/// The time that a target takes to stop after it has announced that it leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(200);
+
 /// The time for which a target that crashed is down, if it comes back.
 pub const DOWN_TIME: Duration = Duration::from_millis(150);
 
@@ -207,6 +210,9 @@
         .lines()
         .find_map(|line| line.strip_prefix("request-id: "));
     script.write(&mut stream, id.unwrap_or("r"), is_stream)?;
+    if script.fate == Fate::Leaving {
+        thread::sleep(LEAVE_TIME);
+    }
     if script.fate != Fate::Alive {
         // A listener that is shut down refuses connections from then on.
         SockRef::from(listener).shutdown(Shutdown::Both)?;
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -13,8 +13,12 @@
         TcpListener,
         TcpStream, //
     },
+    sync::mpsc,
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use compio::runtime::Runtime;
@@ -23,6 +27,11 @@
     Value,
     json, //
 };
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use standin::{
     client::Client,
     fleet::{
@@ -325,6 +334,46 @@
     assert!(wrong.is_empty(), "{}: {}", wrong.len(), wrong.join("\n"));
 }
 
+/// A target stops in order together with its sidecar, right after an answer without framing. The
+/// answer must not be taken for broken off.
+#[test]
+fn the_last_answer_of_a_target_that_stops_with_its_sidecar_is_whole() {
+    let Environment {
+        values,
+        platform,
+        keys,
+    } = fleet::start_platform(RULES);
+    let router = fleet::router(fleet::router_settings("router-0", &keys, &platform));
+    fleet::publish_vms(&values, &[("router-0", router.addresses.link)]);
+    let target = scripted::serve(false);
+    let sidecar = fleet::sidecar_settings("shop-1", "shop", target, 8, &keys, &platform);
+    let mut sidecar = fleet::sidecar(sidecar);
+    fleet::await_ready(sidecar.addresses.admin);
+    fleet::await_ready(router.addresses.admin);
+    let script = Script {
+        framing: Framing::None,
+        fate: Fate::Leaving,
+        ..SOUND
+    };
+    let mut stream = TcpStream::connect(router.addresses.http).expect("the router accepts it");
+    let path = format!("/shop/stream/{}", script.path());
+    let request = format!("GET {path} HTTP/1.0\r\nhost: a.example\r\nx-account: stall-1\r\n\r\n");
+    stream
+        .write_all(request.as_bytes())
+        .expect("the request is sent");
+    let mut received = Vec::new();
+    while !received.ends_with(EVENTS[0].as_bytes()) {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the answer goes on");
+        received.push(byte[0]);
+    }
+    let drained = thread::spawn(move || sidecar.drain());
+    let ended = stream.read_to_end(&mut received);
+    assert!(ended.is_ok(), "{ended:?}");
+    assert!(received.ends_with(EVENTS.concat().as_bytes()));
+    assert!(drained.join().expect("the thread does not panic"));
+}
+
 /// A stream that breaks off after its first event, and the answer of the next target.
 struct Continued {
     /// What the first target sends before it closes the connection.
@@ -424,3 +473,57 @@
         );
     }
 }
+
+/// Answers one request without framing, from a port that accepts no more connections from then on
+/// and doesn't refuse them either. Sends the time at which the answer has ended.
+fn serve_with_full_queue(ended: mpsc::Sender<Instant>) -> SocketAddr {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is created");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a port is free");
+    socket.listen(0).expect("the socket listens");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("the listener has an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the gateway connects");
+        let _ = stream.read(&mut [0; 4_096]);
+        // Fills the queue of connections that wait to be accepted.
+        let limit = Duration::from_millis(100);
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, limit) {
+            queued.push(stream);
+        }
+        let text = format!("HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\n{}", EVENTS[0]);
+        stream
+            .write_all(text.as_bytes())
+            .expect("the answer is sent");
+        drop(stream);
+        let _ = ended.send(Instant::now());
+        thread::sleep(Duration::from_secs(5));
+    });
+    address
+}
+
+/// A target that neither accepts nor refuses a connection after its answer must not hold it back:
+/// nothing shows that it crashed, and its caller waits.
+#[test]
+fn an_unreachable_target_does_not_hold_back_its_whole_answer() {
+    const TRIES: usize = 4;
+    let config = config(&PLAIN, TRIES);
+    let region = Region::start(1, "web", vec![Instance::new("i-1")], &config, |_| {});
+    let address = region.gateways[0].addresses.http;
+    let held_back = (0..TRIES).map(|i| {
+        let (sender, ended) = mpsc::channel();
+        let target = serve_with_full_queue(sender);
+        let (name, service) = (format!("i-raw-{i}"), format!("raw-{i}"));
+        gateways::register(&region.items, &name, &service, target, "ready");
+        thread::sleep(Duration::from_millis(300));
+        let fields = [HOST, ("request-id", "r")];
+        let outcome = Caller::Http11.ask(address, "GET", &format!("/plain/{i}/1"), &fields);
+        assert_eq!((outcome.status, outcome.complete), (200, true));
+        ended.recv().expect("the answer has ended").elapsed()
+    });
+    // The state of the target is asked for during 100 ms at most. On a busy machine one of the
+    // answers comes later.
+    let least = held_back.min().expect("there is more than one try");
+    assert!(least < Duration::from_millis(200), "{least:?}");
+}
