--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -1,5 +1,8 @@
 //! Engines of a pool, and what the pool sends to them.
 
+// Each test file that includes this module uses only a part of it.
+#![allow(dead_code, clippy::allow_attributes, unreachable_pub)]
+
 use std::time::Duration;
 
 use redwingyard::pool::{
