--- a/src/answer/events.rs
+++ b/src/answer/events.rs
@@ -142,8 +142,8 @@
         Ok(whole)
     }
 
-    /// Returns whether the event that has not ended is longer than [`MAX_EVENT`]; no target sends
-    /// such events.
+    /// Returns whether the event that has not ended is longer than 64 KiB; no target sends such
+    /// events.
     pub fn is_too_long(&self) -> bool {
         self.partial.len() > MAX_EVENT
     }
