Count a streamed answer of known length as answered

Callers saw: nothing wrong. Operators saw 'caller-gone' for each answer of known length that was passed on as it arrived, and its target got no credit for it: no success, no length of its stream, and a new connection for its next request. Cause: hyper drops a body of known length once that many bytes are written, and doesn't ask for its end; the relay took that for a caller that had left. Change: the relay ends the request with the last byte of such an answer.

--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -8,7 +8,11 @@
     stream::unfold, //
 };
 use http_body_util::BodyExt;
-use hyper::body::Frame;
+use hyper::body::{
+    Body as _,
+    Frame,
+    Incoming, //
+};
 
 use super::{
     attempt::{
@@ -70,6 +74,10 @@
             Ok(whole) if !whole.is_empty() => {
                 let count = std::mem::take(&mut relay.answer.events);
                 relay.call.process.count_events(relay.call.sequence, count);
+                if relay.is_last() {
+                    relay.finish();
+                    relay.done = true;
+                }
                 return Some((Ok(Frame::data(whole)), relay));
             }
             Ok(_) if too_long => relay.resume().await.map(|()| true),
@@ -170,6 +178,13 @@
         }
     }
 
+    /// Returns whether an answer of known length has been read to its end. hyper drops its body once
+    /// that length is written, without another poll.
+    fn is_last(&self) -> bool {
+        let remaining = self.answer.remaining.as_ref();
+        self.splitter.is_none() && remaining.is_some_and(Incoming::is_end_stream)
+    }
+
     /// Ends the request after a complete answer, and keeps the connection for reuse.
     fn finish(&mut self) {
         if let Some(sender) = self.answer.sender.take() {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -258,21 +258,32 @@
         .map(|scripts| {
             let scripts = scripts.to_vec();
             thread::spawn(move || {
-                let wrong = scripts.iter().filter_map(|(i, script)| {
+                let asked = scripts.iter().map(|(i, script)| {
                     let path = format!("{}{i}/{}", kind.prefix, script.path());
                     let fields = [HOST, ("request-id", "r")];
                     let outcome = caller.ask_until_served(address, &path, &fields);
-                    check(script, kind.stream, &outcome)
+                    let whole = outcome.complete && outcome.status == 200;
+                    (whole, check(script, kind.stream, &outcome))
                 });
-                wrong.collect::<Vec<_>>()
+                asked.collect::<Vec<_>>()
             })
         });
     let asks: Vec<_> = asks.collect();
-    let wrong = asks
+    let asked = asks
         .into_iter()
         .flat_map(|ask| ask.join().expect("the thread of a caller does not panic"));
-    let wrong: Vec<_> = wrong.collect();
+    let (whole, wrong): (Vec<_>, Vec<_>) = asked.unzip();
+    let wrong: Vec<_> = wrong.into_iter().flatten().collect();
     assert!(wrong.is_empty(), "{}: {}", wrong.len(), wrong.join("\n"));
+    // A broken-off answer does not count as an answer.
+    let whole = whole.into_iter().filter(|whole| *whole).count();
+    let metrics = Caller::Http11.ask(region.gateways[0].addresses.admin, "GET", "/metrics", &[]);
+    let answered = format!("redwingyard_requests_total{{outcome=\"answered\"}} {whole}\n");
+    assert!(
+        metrics.body.contains(&answered),
+        "{answered}{}",
+        metrics.body
+    );
 }
 
 const RULES: &str = "\
