--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -112,6 +112,8 @@
 struct Run {
     target: u32,
     asked: Asked,
+    /// When its answer begins or, once it has, ends.
+    due: Duration,
 }
 
 /// A request that has not ended.
@@ -218,10 +220,16 @@
         let asked = self.asked[&key];
         let read = self.read.entry(target).or_default();
         *read = (*read).max(self.now) + millis(unread / READ_RATE + 5);
-        let first = *read + FIRST_TIME;
-        let run = Run { target, asked };
+        let due = *read + FIRST_TIME;
+        let run = Run { target, asked, due };
         self.runs.insert(key, run);
-        self.schedule(first, Event::First(key));
+        self.schedule(due, Event::First(key));
+    }
+
+    /// Returns a request whose time has come; an event may be that of an earlier attempt.
+    fn due_run(&mut self, key: Key) -> Option<&mut Run> {
+        let now = self.now;
+        self.runs.get_mut(&key).filter(|run| run.due == now)
     }
 
     fn is_up(&self, target: u32) -> bool {
@@ -348,13 +356,16 @@
             }
             Event::Arrive(account, again) => self.arrive(account, again, with_part),
             Event::First(key) => {
-                let Some(run) = self.runs.get(&key) else {
+                let due = self.now + STREAM_TIME;
+                let Some(run) = self.due_run(key) else {
                     return;
                 };
                 let asked = run.asked;
                 if asked.deadly {
-                    return self.crash(run.target);
+                    let target = run.target;
+                    return self.crash(target);
                 }
+                run.due = due;
                 if !asked.again {
                     self.begun.push((asked.account, self.now.as_secs()));
                 }
@@ -362,10 +373,10 @@
                 let outputs = pool.first_byte(self.now, key.1);
                 pool.events(self.now, key.1, 4);
                 self.perform(key.0, outputs);
-                self.schedule(self.now + STREAM_TIME, Event::End(key));
+                self.schedule(due, Event::End(key));
             }
             Event::End(key) => {
-                if self.runs.contains_key(&key) {
+                if self.due_run(key).is_some() {
                     self.end(key, true);
                 }
             }
