Don't take a rules text that may have broken off

Operators saw: nothing; a rules text from the configuration service that broke off between two lines, with neither a length nor chunks, came into force with the lines that had arrived, until the next generation. Accounts and targets of the other lines were unknown then. Change: a router or sidecar refuses such an answer with platform-failed and keeps what is in force. Evidence: rules_that_may_have_broken_off_do_not_come_into_force, without_framing failed before. The VM list and the store's answers are JSON, which does not parse when cut.

--- a/src/shell/platform.rs
+++ b/src/shell/platform.rs
@@ -20,7 +20,10 @@
     Serialize, //
 };
 
-use crate::settings::Name;
+use crate::{
+    answer::Framing,
+    settings::Name, //
+};
 
 /// How long the service may delay the answer to a watch until the value changes, in seconds.
 const WATCH_SECONDS: u64 = 30;
@@ -63,6 +66,9 @@
     #[display("status {_0}")]
     #[from(skip)]
     Status(#[error(not(source))] u16),
+    /// The answer ends with its connection, so a broken-off text can't be told from a whole one.
+    #[display("the answer has neither a length nor chunks")]
+    Unframed,
     /// The service did not answer in time.
     #[display("no answer within {CALL_TIMEOUT:?}")]
     Timeout,
@@ -107,6 +113,9 @@
             if status != 200 {
                 return Err(ReadError::Status(status));
             }
+            if Framing::of(response.headers()) == Framing::Connection {
+                return Err(ReadError::Unframed);
+            }
             let field = response.headers().get(INDEX_FIELD);
             let index = field.and_then(|value| value.to_str().ok()?.parse().ok());
             Ok((index.unwrap_or(0), response.text().await?))
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -22,6 +22,7 @@
 };
 
 use compio::runtime::Runtime;
+use redwingyard::settings::Platform;
 use rstest::rstest;
 use serde_json::{
     Value,
@@ -561,3 +562,36 @@
     let least = held_back.min().expect("there is more than one try");
     assert!(least < Duration::from_millis(200), "{least:?}");
 }
+
+struct RulesAnswer {
+    head: &'static str,
+    /// The generation that comes into force.
+    generation: u64,
+}
+
+/// Rules are lines of text, so a text that breaks off between two of them is valid. It must not come
+/// into force where nothing tells that it is whole.
+#[rstest]
+#[case::with_a_length(RulesAnswer { head: "content-length: 56\r\n", generation: 1 })]
+#[case::without_framing(RulesAnswer { head: "", generation: 0 })]
+fn rules_that_may_have_broken_off_do_not_come_into_force(#[case] case: RulesAnswer) {
+    let text = "generation 1     # kim: test\nshare * stall-1 1 # mei: x\n";
+    assert_eq!(text.len(), 56);
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n{}\r\n{text}",
+        case.head
+    );
+    let service = serve_two(answer.leak(), "");
+    let Environment { keys, .. } = fleet::start_platform(RULES);
+    let url = |key| format!("http://{service}/v1/kv/{key}");
+    let platform = Platform {
+        rules: url("rules"),
+        vms: url("vms"),
+    };
+    let router = fleet::router(fleet::router_settings("router-0", &keys, &platform));
+    // Several reads of the rules, each a second after the one before.
+    thread::sleep(Duration::from_millis(2_500));
+    let status = Caller::Http11.ask(router.addresses.admin, "GET", "/status", &[]);
+    let status: Value = serde_json::from_str(&status.body).expect("the status is JSON");
+    assert_eq!(status["generation"], case.generation, "{status}");
+}
