Log each answer that breaks off after its head, and no text of a target's stream

On-call could not see why a plain answer broke off before it was passed on, nor that a stream was left for an event that is too long: no line said so. 'continued' gave the last id, which is text of the target of any length, with spaces as it likes: a line of up to 64 KiB that may look like other fields. Change: one function logs 'stream-broken' for all of them; 'continued' has no id.

--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a target: sends the request and reads the beginning of the answer.
 
 use std::{
+    fmt::Display,
     rc::Rc,
     time::Duration, //
 };
@@ -89,6 +90,14 @@
     pub(super) connections: Rc<Connections>,
 }
 
+impl Answer {
+    /// Logs that the answer broke off after its head.
+    pub(super) fn log_break(&self, request: &str, cause: &dyn Display) {
+        let framing = self.progress.framing();
+        log::info!("event=stream-broken request={request} framing={framing} error=\"{cause}\"");
+    }
+}
+
 pub(super) enum AttemptResult {
     /// The beginning of an answer has arrived.
     Answered(Box<Answer>),
@@ -180,16 +189,16 @@
                 Err(result) => return result,
             };
             match frame {
-                None if self.judge_end(&answer).await.is_ok() => {
-                    answer.remaining = None;
-                    if let Some(sender) = answer.sender.take() {
-                        answer.connections.put_idle(sender, &answer.head.headers);
+                None => match self.judge_end(&answer).await {
+                    Ok(()) => {
+                        answer.remaining = None;
+                        if let Some(sender) = answer.sender.take() {
+                            answer.connections.put_idle(sender, &answer.head.headers);
+                        }
                     }
-                }
-                None | Some(Err(_)) => {
-                    self.process.check_target(self.sequence).await;
-                    return AttemptResult::Failed(Fault::Lost);
-                }
+                    Err(flaw) => return self.fail_broken(&answer, &flaw).await,
+                },
+                Some(Err(err)) => return self.fail_broken(&answer, &err).await,
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
                         answer.events += answer.progress.push(&bytes);
@@ -211,6 +220,13 @@
         AttemptResult::Answered(Box::new(answer))
     }
 
+    /// Fails an attempt whose answer broke off before it was passed on.
+    async fn fail_broken(&self, answer: &Answer, cause: &dyn Display) -> AttemptResult {
+        answer.log_break(&self.request.id, cause);
+        self.process.check_target(self.sequence).await;
+        AttemptResult::Failed(Fault::Lost)
+    }
+
     /// Judges an answer whose body has ended without an error.
     ///
     /// # Errors
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -80,7 +80,7 @@
                 }
                 return Some((Ok(Frame::data(whole)), relay));
             }
-            Ok(_) if too_long => relay.resume().await.map(|()| true),
+            Ok(_) if too_long => relay.recover(&"an event is too long").await,
             Ok(_) => relay.read().await,
             Err(repeated) => relay.recover(&repeated).await,
         };
@@ -131,11 +131,7 @@
     /// Finds out what has become of the target of an answer that broke off, and continues the answer
     /// elsewhere.
     async fn recover(&mut self, cause: &impl Display) -> Result<bool, Truncated> {
-        log::info!(
-            "event=stream-broken request={} framing={} error=\"{cause}\"",
-            self.call.request.id,
-            self.answer.progress.framing(),
-        );
+        self.answer.log_break(&self.call.request.id, cause);
         self.call.process.check_target(self.call.sequence).await;
         self.resume().await.map(|()| true)
     }
@@ -166,10 +162,9 @@
                 AttemptResult::Answered(answer) if answer.head.status.is_success() => {
                     self.call.process.first_byte(self.call.sequence);
                     log::info!(
-                        "event=continued request={} framing={} last_event={}",
+                        "event=continued request={} framing={}",
                         self.call.request.id,
                         answer.progress.framing(),
-                        last_id.as_deref().unwrap_or("-"),
                     );
                     self.answer = *answer;
                     return Ok(());
