Log what an account had and could use, with each placement and refusal

No line told whether the starved account was held back by the order of accounts or found no place. The lines place and refuse now carry the account's service and demand in the whole fleet and the percentage of an engine that it could use.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -374,6 +374,7 @@
             unread_tokens,
             rank,
             trial,
+            standing,
             ..
         } = candidate;
         let spec = &self.requests[&sequence].spec;
@@ -413,6 +414,7 @@
             expected: first_byte,
             unread_tokens,
             rank,
+            standing,
         });
     }
 
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -77,4 +77,7 @@
     part_id,
 };
 use throttle::Fairness;
-pub use usage::RecentService;
+pub use usage::{
+    RecentService,
+    Standing, //
+};
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -15,6 +15,7 @@
         Service,
         Target, //
     },
+    pool::Standing,
     wire::AccountUsage, //
 };
 
@@ -151,6 +152,8 @@
         /// The target's rank in the rendezvous hashing of the prompt's shared prefix; `None` where
         /// the target is not among the first ranks.
         rank: Option<usize>,
+        /// What the account had and how much of the target it could use.
+        standing: Standing,
     },
     /// Refuse a request, which has not run.
     Refuse {
@@ -162,6 +165,8 @@
         retry: Duration,
         /// The requests of the service that wait at this router.
         waiting: usize,
+        /// What the account had and how much of each target it could use.
+        standing: Standing,
     },
     /// Give up the current attempt and report it as [`Fault::Lost`].
     Abandon {
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -16,6 +16,7 @@
     Pool,
     Prompt,
     RequestSpec,
+    Standing,
     core::{
         Request,
         Stage, //
@@ -115,6 +116,7 @@
     pub(super) rank: Option<usize>,
     /// The suspect part that the request is sent to try.
     pub(super) trial: Option<Part>,
+    pub(super) standing: Standing,
 }
 
 impl Pool {
@@ -196,16 +198,15 @@
         fairness: &Fairness,
     ) -> Option<(Sequence, Candidate)> {
         let state = self.services.get(&service)?;
-        let account_usage = state.ledger.account_usage(now, account);
-        let allowed = fairness.allowed_fraction(account_usage.usage);
-        let home_fraction = fairness.home_fraction(&account_usage);
+        let standing = fairness.standing(state.ledger.account_usage(now, account));
+        let home_fraction = fairness.home_fraction(&standing.recent);
         let queue = state.queue.of_account(account)?;
         let mut sequences = queue.iter().take(LOOK_AHEAD);
         sequences.find_map(|sequence| {
             let request = &self.requests[sequence];
             Some((
                 *sequence,
-                self.choose(now, request, allowed, home_fraction)?,
+                self.choose(now, request, standing, home_fraction)?,
             ))
         })
     }
@@ -215,7 +216,7 @@
         &self,
         now: Time,
         request: &Request,
-        allowed: f64,
+        standing: Standing,
         home_fraction: f64,
     ) -> Option<Candidate> {
         debug_assert!(matches!(request.stage, Stage::Waiting));
@@ -245,7 +246,7 @@
         let lowest = rates.fold(1.0, f64::min);
         let constraints = Constraints {
             homes: self.homes(&request.spec, members),
-            allowed,
+            allowed: standing.allowed,
             home_wait: request.spec.objective.mul_f64(home_fraction),
             multiple: self.routers > 1 || !self.sources.is_empty(),
         };
@@ -254,6 +255,7 @@
                 true => baseline_candidate(member),
                 false => self.evaluate(now, request, member, &constraints)?,
             };
+            candidate.standing = standing;
             candidate.cost += (member.health.failure_rate() - lowest) * FAILURE_COST_MS;
             if let Admission::Trial(part) = admission {
                 // If the target crashes, the fewest other requests are lost.
@@ -357,6 +359,7 @@
         unread_tokens,
         rank,
         trial: None,
+        standing: Standing::default(),
     })
 }
 
@@ -375,6 +378,7 @@
         unread_tokens: 0,
         rank: None,
         trial: None,
+        standing: Standing::default(),
     })
 }
 
@@ -387,5 +391,6 @@
         unread_tokens: 0,
         rank: None,
         trial: None,
+        standing: Standing::default(),
     }
 }
--- a/src/pool/refuse.rs
+++ b/src/pool/refuse.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::{
+    Fairness,
     Output,
     Pool,
     Refusal,
@@ -90,9 +91,12 @@
             return;
         };
         let spec = &request.spec;
+        let rate = self.rate;
         let state = self.service_mut(spec.service);
         state.ledger.record_refusal(now, spec.account);
         let waiting = state.queue.len();
+        let recent = state.ledger.account_usage(now, spec.account);
+        let standing = Fairness::new(&state.ledger, now, rate).standing(recent);
         let expected = self.expected(now, spec.service, spec.account);
         let retry = self.retry_time(now, spec, expected);
         self.outputs.push(Output::Refuse {
@@ -100,6 +104,7 @@
             cause,
             retry,
             waiting,
+            standing,
         });
     }
 
--- a/src/pool/throttle.rs
+++ b/src/pool/throttle.rs
@@ -5,7 +5,8 @@
 
 use super::{
     Ledger,
-    RecentService, //
+    RecentService,
+    Standing, //
 };
 use crate::ids::{
     Time,
@@ -63,9 +64,15 @@
         }
     }
 
+    /// Returns what decides the part of the engines that an account with `recent` service may use.
+    pub(super) fn standing(&self, recent: RecentService) -> Standing {
+        let allowed = self.allowed_fraction(recent.usage);
+        Standing { recent, allowed }
+    }
+
     /// Returns the fraction of an engine that an account with `usage` may use. It falls with the
     /// usage, so that accounts above their share are also ordered among each other.
-    pub(super) fn allowed_fraction(&self, usage: Usage) -> f64 {
+    fn allowed_fraction(&self, usage: Usage) -> f64 {
         let over = (usage as f64 / self.max_unthrottled.max(1) as f64).max(1.0);
         let ratios = self.refused.iter().map(|account| account.ratio_to(usage));
         let ratio = ratios.fold(MAX_RATIO, f64::max);
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -15,6 +15,16 @@
     pub demand: Usage,
 }
 
+/// What decided the part of the engines that an account could use: its recent service and the
+/// fraction of each engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// The service that the account has received and requested in the whole fleet.
+    pub recent: RecentService,
+    /// The fraction of an engine that its requests may use.
+    pub allowed: f64,
+}
+
 impl RecentService {
     /// Returns the ratio of another account's `usage` to that of this account. Usage beyond this
     /// account's own demand is not counted, as this account would not have used it.
--- a/src/shell/gateway/decision_line.rs
+++ b/src/shell/gateway/decision_line.rs
@@ -2,7 +2,10 @@
 
 use std::fmt;
 
-use crate::pool::Output;
+use crate::pool::{
+    Output,
+    Standing, //
+};
 
 /// Formats a decision as one line of key=value pairs, which `explain-request` reads back.
 pub(super) struct DecisionLine<'a>(&'a Output);
@@ -13,6 +16,21 @@
     }
 }
 
+/// The fields for what an account had, in tokens, and the percentage of an engine that it could use.
+struct StandingFields<'a>(&'a Standing);
+
+impl fmt::Display for StandingFields<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Standing { recent, allowed } = self.0;
+        let (usage, demand) = (recent.usage, recent.demand);
+        write!(
+            f,
+            "usage={usage} demand={demand} allowed={:.0}",
+            allowed * 100.0
+        )
+    }
+}
+
 impl fmt::Display for DecisionLine<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
@@ -23,23 +41,27 @@
                 expected,
                 unread_tokens,
                 rank,
+                standing,
             } => write!(
                 f,
                 "event=place sequence={sequence} target={target:08x} waited_ms={} \
-                 expected_ms={} unread_tokens={unread_tokens} home_rank={}",
+                 expected_ms={} unread_tokens={unread_tokens} home_rank={} {}",
                 waited.as_millis(),
                 expected.as_millis(),
                 rank.map_or(-1, |rank| rank as i64),
+                StandingFields(standing),
             ),
             Output::Refuse {
                 sequence,
                 cause,
                 retry,
                 waiting,
+                standing,
             } => write!(
                 f,
-                "event=refuse sequence={sequence} cause={cause} retry_ms={} waiting={waiting}",
+                "event=refuse sequence={sequence} cause={cause} retry_ms={} waiting={waiting} {}",
                 retry.as_millis(),
+                StandingFields(standing),
             ),
             Output::Abandon { sequence } => write!(f, "event=abandon sequence={sequence}"),
             Output::Expire { sequence } => write!(f, "event=expire sequence={sequence}"),
