Prefer an account that returns from idleness for a second and a half, not four

Cause: the usage that accounts are ordered by decays with a time constant of four seconds. An account that was idle comes back with a usage near zero and is preferred until it has caught up with what the others had in these seconds; in the six seconds that callers judge by, it gets twice what they get. The class of fault: credit for idleness.

--- a/src/pool/ledger.rs
+++ b/src/pool/ledger.rs
@@ -26,9 +26,9 @@
     wire::AccountUsage, //
 };
 
-/// The time constant of the exponential decay of usage. It is of the order of the time in which
-/// callers notice that others are served before them.
-const DECAY_TIME: Duration = Duration::from_secs(4);
+/// The time constant of the exponential decay of usage. An account that returns from idleness is
+/// preferred to others for about this time.
+const DECAY_TIME: Duration = Duration::from_millis(1_500);
 
 /// The time for which a refusal shows that an account still has unmet demand.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(3);
@@ -101,7 +101,7 @@
     /// ledger.record_refusal(Duration::ZERO, 8);
     /// ledger.charge(Duration::ZERO, 7, 30);
     /// assert_eq!(ledger.usage(Duration::ZERO, 7), 34);
-    /// assert_eq!(ledger.usage(Duration::from_secs(4), 7), 12);
+    /// assert_eq!(ledger.usage(Duration::from_millis(1_500), 7), 12);
     /// ```
     pub fn charge(&mut self, now: Time, account: Account, usage: Usage) -> Usage {
         let fraction = match self.is_contended(now) {
@@ -252,9 +252,9 @@
     /// for (account, demand) in [(1, 100), (2, 900), (3, 2_000)] {
     ///     ledger.add_demand(Duration::ZERO, account, demand);
     /// }
-    /// // Of the 1,600 that decaying sums hold at 400 in a second and a time constant of 4 s, the
-    /// // first account gets 100 and the two others get 750 each.
-    /// assert_eq!(ledger.fair_share(Duration::ZERO, 400), 750);
+    /// // Of the 600 that decaying sums hold at 400 in a second and a time constant of 1.5 s, the
+    /// // first account gets 100 and the two others get 250 each.
+    /// assert_eq!(ledger.fair_share(Duration::ZERO, 400), 250);
     /// ```
     pub fn fair_share(&self, now: Time, rate: u64) -> Usage {
         let demands = totals(now, self.all_demand());
