Log what a late turn of the event loop takes in

A turn that ends 60 ms late or more now says how many connections it accepted and how many heads it read, at most once a second; a counter has the accepted connections.

--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -6,6 +6,7 @@
     Encoder,
     Histogram,
     HistogramOpts,
+    IntCounter,
     IntCounterVec,
     IntGauge,
     Opts,
@@ -23,6 +24,7 @@
     registry: Registry,
     outcomes: IntCounterVec,
     faults: IntCounterVec,
+    pub(super) accepted: IntCounter,
     wait: Histogram,
     first_byte: Histogram,
     total: Histogram,
@@ -57,7 +59,14 @@
             let _ = registry.register(Box::new(gauge.clone()));
             gauge
         };
+        let accepted = IntCounter::new(
+            "redwingyard_connections_accepted_total",
+            "Connections of callers that were accepted.",
+        );
+        let accepted = accepted.expect("the metric name is valid");
+        let _ = registry.register(Box::new(accepted.clone()));
         Self {
+            accepted,
             outcomes: counter(
                 "redwingyard_requests_total",
                 "Requests that have ended, by outcome.",
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -78,6 +78,9 @@
 /// the shortest latency objective.
 const LATE_TICK: Duration = Duration::from_millis(60);
 
+/// The shortest interval between two log lines about a late event loop.
+const LATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How far below the configured limit the age of the rules must be for keys to be trusted. This
 /// margin covers the time that a request may have spent in transit and the difference to the
 /// platform's clock.
@@ -118,6 +121,12 @@
     last_tick: Cell<Time>,
     /// When the last tick should have run.
     tick_due: Cell<Time>,
+    /// The connections that were accepted since the last tick.
+    accepted: Cell<u32>,
+    /// The requests whose heads were read since the last tick.
+    heads: Cell<u32>,
+    /// When a late event loop was last logged.
+    late_logged: Cell<Time>,
     overload: RefCell<OverloadDetector>,
     pub(super) memory: MemoryBudget,
     memory_checked: Cell<Time>,
@@ -151,6 +160,9 @@
             at_capacity: Cell::new(false),
             last_tick: Cell::new(Duration::ZERO),
             tick_due: Cell::new(Duration::ZERO),
+            accepted: Cell::new(0),
+            heads: Cell::new(0),
+            late_logged: Cell::new(Duration::ZERO),
             overload: RefCell::default(),
             memory: MemoryBudget::new(settings.memory_mb.map(|limit| limit << 20)),
             memory_checked: Cell::new(Duration::ZERO),
@@ -330,8 +342,10 @@
         let late = now.saturating_sub(due);
         self.tick_due.set(due);
         self.metrics.delay.set(late.as_millis() as i64);
+        let (accepted, heads) = (self.accepted.take(), self.heads.take());
         if late >= LATE_TICK {
             self.pool.borrow_mut().start_grace(now, late);
+            self.log_late_turn(now, late, accepted, heads);
         }
         let mut overload = self.overload.borrow_mut();
         if let Some(overloaded) = overload.record(now, late) {
@@ -343,6 +357,33 @@
         }
     }
 
+    /// Logs what the event loop took in during a turn that ended late.
+    #[cold]
+    fn log_late_turn(&self, now: Time, late: Duration, accepted: u32, heads: u32) {
+        if now < self.late_logged.get() + LATE_LOG_INTERVAL {
+            return;
+        }
+        self.late_logged.set(now);
+        log::info!(
+            "event=late-turn delay_ms={} accepted={accepted} heads={heads} connections={} \
+             requests={}",
+            late.as_millis(),
+            self.memory.connections(),
+            self.pool.borrow().active(),
+        );
+    }
+
+    /// Counts a connection that was accepted.
+    pub(super) fn count_accepted(&self) {
+        self.accepted.set(self.accepted.get() + 1);
+        self.metrics.accepted.inc();
+    }
+
+    /// Counts a request whose head was read.
+    pub(super) fn count_head(&self) {
+        self.heads.set(self.heads.get() + 1);
+    }
+
     /// Measures how much memory this process takes, once per [`MEASURE_INTERVAL`].
     fn record_memory(&self) {
         let now = self.clock.now();
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -281,6 +281,7 @@
         match accepted {
             Ok(_) if callers.closed.get() => return,
             Ok((stream, _)) => {
+                process.count_accepted();
                 let process = process.clone();
                 let callers = callers.clone();
                 let opened = callers.memory.track_connection();
@@ -318,6 +319,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let (process, callers) = (process.clone(), callers.clone());
         let arrived = process.earliest_arrival(drained.at());
+        process.count_head();
         let (version, reset) = (request.version(), reset.clone());
         async move {
             let response = front::handle(process.clone(), request, arrived).await;
