Count and log each request that its connection leaves without a complete answer

The logs couldn't tell why: a request whose connection ended left an `end` line only if it was in the pool's queue, and none of an answer that was complete at the gateway and not written to the caller.

Each connection of a caller now follows its request from the head to the flush of the last byte. Where the connection ends before, a line `event=cut` has the request's id, the cause, how far the request had come (read, queued, sent, answering) and whether the process was stopping, and `redwingyard_requests_cut_total{cause}` counts it. At the end of a stop the line is written for each request that is still open, with the cause `stop-timeout`; that line has no test.

--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -35,6 +35,7 @@
 
 use super::{
     call::Call,
+    exchange::Stage,
     process::Decision, //
 };
 use crate::{
@@ -120,6 +121,9 @@
             listing.name,
             self.elapsed().as_millis(),
         );
+        if resume.is_none() {
+            self.request.exchange.advance(Stage::Sent);
+        }
         let request = self.target_request(&listing.name, resume);
         let connections = self.process.connections_to(listing.address);
         let opened = {
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -21,6 +21,10 @@
         Answer,
         AttemptResult, //
     },
+    exchange::{
+        Exchange,
+        Stage, //
+    },
     process::{
         Decision,
         Process, //
@@ -74,6 +78,8 @@
     pub(super) resumable: bool,
     pub(super) arrived: Time,
     pub(super) deadline: Time,
+    /// The connection's record of this request.
+    pub(super) exchange: Rc<Exchange>,
 }
 
 impl Call {
@@ -82,6 +88,7 @@
         request: CallerRequest,
         pool_ask: crate::pool::RequestSpec,
     ) -> Self {
+        request.exchange.advance(Stage::Queued);
         let (sequence, decisions) = process.enqueue(pool_ask);
         Self {
             process,
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -22,6 +22,10 @@
         Call,
         CallerRequest, //
     },
+    exchange::{
+        Exchange,
+        Stage, //
+    },
     process::Process,
     refusal::{
         FAULT_RETRY,
@@ -65,20 +69,26 @@
 /// The retry time for callers of a gateway that does not know or can't confirm the rules.
 const UNREADY_RETRY: Duration = Duration::from_millis(300);
 
-/// Answers one request of a caller, which arrived at time `arrived`.
+/// Answers one request of a caller, which arrived at time `arrived` on the connection of `exchange`.
 pub(super) async fn handle(
     process: Rc<Process>,
     request: Request<Incoming>,
     arrived: Time,
+    exchange: Rc<Exchange>,
 ) -> Response<Body> {
     let (head, mut body) = request.into_parts();
-    match admit(&process, head, &mut body, arrived).await {
+    let response = match admit(&process, head, &mut body, arrived, &exchange).await {
         Ok(call) => call.run().await,
         Err(response) => {
             discard(body);
             *response
         }
+    };
+    exchange.advance(Stage::Answering);
+    if matches!(response.body(), Body::Full(_)) {
+        exchange.pass_answer();
     }
+    response
 }
 
 /// Admits a request to the pool's queue, or returns the response that rejects it.
@@ -87,11 +97,13 @@
     head: request::Parts,
     body: &mut Incoming,
     arrived: Time,
+    exchange: &Rc<Exchange>,
 ) -> Result<Call, Rejection> {
     let unread = process.clock.now().saturating_sub(arrived);
     process.apply_updates();
     let rules = process.rules();
     let envelope = platform::envelope(&head.headers);
+    exchange.begin(&envelope.id);
     if rules.generation() == 0 {
         return Err(refuse_unready(process, &envelope, "no-rules"));
     }
@@ -150,6 +162,7 @@
         resumable: route.repeat == RetryPolicy::Resume,
         arrived,
         deadline,
+        exchange: exchange.clone(),
     };
     Ok(Call::new(process.clone(), caller_request, spec))
 }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod decision_line;
+mod exchange;
 mod freshness;
 mod front;
 mod metrics;
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -188,6 +188,7 @@
             let headers = &self.answer.head.headers;
             self.answer.connections.put_idle(sender, headers);
         }
+        self.call.request.exchange.pass_answer();
         self.call.end("answered", true);
     }
 }
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -7,7 +7,10 @@
     },
     convert::Infallible,
     net::SocketAddr,
-    rc::Rc,
+    rc::{
+        Rc,
+        Weak, //
+    },
     task::Poll,
     time::Duration, //
 };
@@ -39,6 +42,10 @@
 use serde::Serialize;
 
 use super::{
+    exchange::{
+        Exchange,
+        Unanswered, //
+    },
     front,
     peers,
     process::{
@@ -112,6 +119,8 @@
     closed: Cell<bool>,
     /// Tells each connection to shut down gracefully.
     shutdowns: RefCell<Vec<oneshot::Sender<()>>>,
+    /// The requests of the connections that are open.
+    exchanges: RefCell<Vec<Weak<Exchange>>>,
 }
 
 impl CallerConnections {
@@ -121,6 +130,7 @@
             max_connections,
             closed: Cell::new(false),
             shutdowns: RefCell::default(),
+            exchanges: RefCell::default(),
         }
     }
 
@@ -133,6 +143,22 @@
         shutdown_signal
     }
 
+    /// Registers the requests of a new connection.
+    fn track_exchange(&self) -> Rc<Exchange> {
+        let exchange = Rc::default();
+        let mut exchanges = self.exchanges.borrow_mut();
+        exchanges.retain(|open| open.strong_count() > 0);
+        exchanges.push(Rc::downgrade(&exchange));
+        exchange
+    }
+
+    /// Takes the requests that have no complete answer.
+    fn take_unanswered(&self) -> Vec<Unanswered> {
+        let exchanges = self.exchanges.borrow();
+        let open = exchanges.iter().filter_map(Weak::upgrade);
+        open.filter_map(|exchange| exchange.take()).collect()
+    }
+
     /// Closes idle connections at once, and the others after their current request.
     fn start_shutdown(&self) {
         for shutdown in self.shutdowns.borrow_mut().drain(..) {
@@ -247,6 +273,9 @@
             self.process.expire_all();
             sleep(EXPIRY_GRACE).await;
         }
+        for unanswered in self.callers.take_unanswered() {
+            log_cut(&self.process, &unanswered, "stop-timeout");
+        }
         log::info!("event=stop connections={left}");
         left == 0
     }
@@ -308,8 +337,13 @@
     drained: LastEmpty,
 ) {
     let _ = stream.set_nodelay(true);
+    let exchange = callers.track_exchange();
+    let flushed = exchange.clone();
     let stream = match Stream::new(stream) {
-        Ok(stream) => stream.with_max_read(MAX_READ).record_empty(drained.clone()),
+        Ok(stream) => stream
+            .with_max_read(MAX_READ)
+            .record_empty(drained.clone())
+            .on_flush(move || flushed.flushed()),
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let reset = stream.reset_handle();
@@ -319,8 +353,9 @@
         let (process, callers) = (process.clone(), callers.clone());
         let arrived = process.earliest_arrival(drained.at());
         let (version, reset) = (request.version(), reset.clone());
+        let exchange = exchange.clone();
         async move {
-            let response = front::handle(process.clone(), request, arrived).await;
+            let response = front::handle(process.clone(), request, arrived, exchange).await;
             let mut response = body::for_version(response, version, &reset);
             close_if_near_limit(&callers.memory, callers.max_connections, &mut response);
             if process.is_stopping() {
@@ -338,13 +373,41 @@
         .serve_connection(stream, service);
     let shutdown_signal = callers.shutdown_signal();
     let connection = std::pin::pin!(connection);
-    if let Either::Right((Ok(()), mut connection)) = select(connection, shutdown_signal).await {
-        connection.as_mut().graceful_shutdown();
-        // The caller may break off the connection, so an error here needs no action.
-        let _ = connection.await;
+    let ended = match select(connection, shutdown_signal).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right((_, mut connection)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Some(unanswered) = exchange.take() {
+        log_cut(&process, &unanswered, cut_cause(&ended));
     }
 }
 
+/// Returns why a connection ended before its request had a complete answer.
+fn cut_cause(ended: &hyper::Result<()>) -> &'static str {
+    match ended {
+        Ok(()) => "closed",
+        Err(err) if err.is_incomplete_message() => "caller-closed",
+        Err(err) if err.is_user() => "answer-broke-off",
+        Err(err) if err.is_timeout() => "timeout",
+        Err(_) => "connection-failed",
+    }
+}
+
+/// Logs and counts a request whose connection ended before its answer was complete.
+#[cold]
+fn log_cut(process: &Process, unanswered: &Unanswered, cause: &str) {
+    process.metrics.count_cut(cause);
+    log::info!(
+        "event=cut request={} cause={cause} stage={} stopping={}",
+        unanswered.request,
+        unanswered.stage,
+        process.is_stopping(),
+    );
+}
+
 /// Answers a request of an operator, or returns `None` for an unknown path.
 fn page(process: &Process, path: &str) -> Option<admin::Page> {
     Some(match path {
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::Cell,
+    fmt,
     io::{
         self,
         IoSlice, //
@@ -76,6 +77,17 @@
     last_empty: Option<LastEmpty>,
     /// The largest number of bytes of one read.
     max_read: usize,
+    /// Called when all bytes that were passed to the connection are written.
+    on_flush: Option<FlushHook>,
+}
+
+/// A function that is called after each flush.
+struct FlushHook(Box<dyn Fn()>);
+
+impl fmt::Debug for FlushHook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FlushHook")
+    }
 }
 
 impl Stream {
@@ -86,6 +98,7 @@
             read_streak: 0,
             last_empty: None,
             max_read: usize::MAX,
+            on_flush: None,
         })
     }
 
@@ -95,6 +108,12 @@
         Self { max_read, ..self }
     }
 
+    /// Calls `hook` whenever all bytes that were passed to the connection are written.
+    pub(super) fn on_flush(mut self, hook: impl Fn() + 'static) -> Self {
+        self.on_flush = Some(FlushHook(Box::new(hook)));
+        self
+    }
+
     /// Returns a guard that shuts the connection down at the moment it is dropped, although the
     /// task of the connection may not run for some time.
     pub(super) fn shutdown_guard(&self) -> ShutdownGuard {
@@ -203,6 +222,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(FlushHook(hook)) = &self.on_flush {
+            hook();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -35,6 +35,7 @@
         "attempt-error" => "the attempt broke:",
         "attempt-failed" => "the attempt failed:",
         "stream-broken" => "the answer broke off:",
+        "cut" => "its connection ended before the answer was complete:",
         "unframed-end" => {
             "the answer, with neither a length nor chunks, ended with its connection:"
         }
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -231,6 +231,51 @@
     assert_eq!((reply.status, reply.closes), (200, true));
 }
 
+struct Cut {
+    path: &'static str,
+    mode: Mode,
+    /// Whether the caller disconnects while the target works on the request.
+    leaves: bool,
+    /// The cause that is counted, if any.
+    cause: Option<&'static str>,
+}
+
+#[rstest]
+#[case::caller_leaves(Cut { path: "/save/1", mode: Mode::Hang, leaves: true, cause: Some("caller-closed") })]
+#[case::stream_breaks(Cut { path: "/stream/1", mode: Mode::Break, leaves: false, cause: Some("answer-broke-off") })]
+#[case::refused(Cut { path: "/save/1", mode: Mode::Refuse, leaves: false, cause: None })]
+#[case::answered(Cut { path: "/save/1", mode: Mode::Serve, leaves: false, cause: None })]
+#[case::streamed(Cut { path: "/stream/1", mode: Mode::Serve, leaves: false, cause: None })]
+fn requests_without_a_complete_answer_are_counted(#[case] case: Cut) {
+    let net = Net::start(1);
+    net.set_modes([case.mode; 2]);
+    let mut caller = Caller::connect(net.0.gateways[0].addresses.http);
+    let fields = "host: a.example\r\ncredential: secret\r\ncontent-length: 0\r\nrequest-id: r1";
+    let request = format!("POST {} HTTP/1.1\r\n{fields}\r\n\r\n", case.path);
+    caller.send(&request).expect("the connection is open");
+    if case.leaves {
+        eventually("the target runs the request", || net.run_count() == 1);
+        drop(caller);
+    } else {
+        let mut answer = [0; 4096];
+        while matches!(caller.0.read(&mut answer), Ok(1..)) {}
+    }
+    eventually("the connection has ended", || {
+        net.metric(0, "redwingyard_connections") == Some(0.0)
+    });
+    for cause in [
+        "caller-closed",
+        "answer-broke-off",
+        "closed",
+        "timeout",
+        "connection-failed",
+    ] {
+        let name = format!("redwingyard_requests_cut_total{{cause=\"{cause}\"}}");
+        let expected = (case.cause == Some(cause)).then_some(1.0);
+        assert_eq!(net.metric(0, &name), expected, "{cause}");
+    }
+}
+
 struct Unfinished {
     path: &'static str,
 }
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -110,6 +110,18 @@
         let answer = answer.expect("the status page answers");
         serde_json::from_slice(&answer.body).expect("the status page is JSON")
     }
+
+    /// Returns the value of a metric of a gateway, or `None` if it has none yet.
+    pub fn metric(&self, gateway: usize, name: &str) -> Option<f64> {
+        let address = self.0.gateways[gateway].addresses.admin;
+        let runtime = Runtime::new().expect("a runtime starts");
+        let answer = runtime.block_on(Client::new(address).send("GET", "/metrics", &[], ""));
+        let answer = answer.expect("the metrics page answers");
+        let text = String::from_utf8_lossy(&answer.body);
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
+        value.parse().ok()
+    }
 }
 
 /// Returns a configuration with one route of each kind and one account.
