--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -1,28 +1,21 @@
 //! Gateways and routers on a VM with little memory: they refuse callers and stay within the memory
 //! limit.
 
+mod child;
 mod net;
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
 use std::{
     cell::RefCell,
-    fs,
     io::{
         Read,
         Write, //
     },
     net::{
         SocketAddr,
-        TcpListener,
         TcpStream, //
     },
-    path::PathBuf,
-    process::{
-        Child,
-        Command,
-        Stdio, //
-    },
     thread,
     time::{
         Duration,
@@ -30,16 +23,16 @@
     }, //
 };
 
+use child::{
+    Process,
+    free_address, //
+};
 use net::{
     Net,
     eventually, //
 };
-use redwingyard::settings::{
-    GatewaySettings,
-    RouterSettings, //
-};
+use redwingyard::settings::RouterSettings;
 use rstest::rstest;
-use serde::Serialize;
 use standin::{
     fleet::{
         self,
@@ -62,96 +55,6 @@
 /// The shortest read timeout, for answers that are read after [`ANSWER_TIMEOUT`].
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(10);
 
-/// A gateway or router that runs as a child process.
-struct Process {
-    child: Child,
-    http: SocketAddr,
-    admin: SocketAddr,
-}
-
-/// Returns a local address with a free port.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("127.0.0.1 has a free port");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
-}
-
-impl Process {
-    /// Starts a gateway with the settings of a region's gateways, but its own addresses.
-    fn gateway(settings: &GatewaySettings, name: &str) -> Self {
-        let mut settings = settings.clone();
-        settings.http = free_address();
-        settings.admin = free_address();
-        settings.peer.set_ip([127, 0, 0, 9].into());
-        settings.memory_mb = Some(MEMORY_MB);
-        let (http, admin) = (settings.http, settings.admin);
-        Self::start("gateway", &settings, name, http, admin)
-    }
-
-    /// Starts a router with addresses of its own.
-    fn router(settings: &RouterSettings, name: &str) -> Self {
-        let mut settings = settings.clone();
-        settings.http = free_address();
-        settings.admin = free_address();
-        settings.memory_mb = Some(MEMORY_MB);
-        let (http, admin) = (settings.http, settings.admin);
-        Self::start("router", &settings, name, http, admin)
-    }
-
-    fn start(
-        role: &str,
-        settings: &impl Serialize,
-        name: &str,
-        http: SocketAddr,
-        admin: SocketAddr,
-    ) -> Self {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = folder.join(format!("{role}-{name}.json"));
-        let text = serde_json::to_string(settings).expect("settings can be written as JSON");
-        fs::write(&file, text).expect("the settings file can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_redwingyard"))
-            .args([role, "--settings"])
-            .arg(file)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        let process = Self { child, http, admin };
-        eventually("the process is ready", || {
-            process.page("/readyz").contains(" 200 ")
-        });
-        process
-    }
-
-    /// Returns the answer of the admin interface to a request, or an empty text if it has none.
-    fn page(&self, path: &str) -> String {
-        let mut text = String::new();
-        if let Ok(mut stream) = TcpStream::connect(self.admin) {
-            let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
-            let _ = stream.write_all(request.as_bytes());
-            let _ = stream.read_to_string(&mut text);
-        }
-        text
-    }
-
-    /// Returns the peak resident memory of the process, in KB.
-    fn peak(&self) -> usize {
-        let file = format!("/proc/{}/status", self.child.id());
-        let text = fs::read_to_string(file).expect("/proc has a status of the running process");
-        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-        peak.expect("VmHWM is a number")
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// Callers that send bodies at the same time.
 struct Load {
     /// Distinguishes the settings files of the cases.
@@ -255,7 +158,7 @@
     config["limits"]["idleTimeoutMs"] = 10_000.into();
     net.0.items.put("op/config", &config);
     let settings = settings.take().expect("the region has started a gateway");
-    let process = Process::gateway(&settings, load.name);
+    let process = Process::gateway(&settings, load.name, Some(MEMORY_MB));
     eventually("the new limits are in force", || {
         let page = process.page("/status");
         page.lines().any(|line| line.contains("\"generation\": 2,"))
@@ -313,7 +216,7 @@
 #[case::large(Load { name: "large", callers: 80, body: 2 << 20, first: 3 << 19, chunked: false })]
 fn a_router_answers_all_callers_and_stays_within_its_memory(#[case] load: Load) {
     let shop = Shop::start();
-    let process = Process::router(&shop.settings, load.name);
+    let process = Process::router(&shop.settings, load.name, Some(MEMORY_MB));
     load.run(&process, "/shop/save", "x-account: stall-1");
     for i in 0..load.callers {
         assert_eq!(shop.writes.count(&format!("/save/{i}")), 0);
@@ -333,7 +236,7 @@
     config["limits"]["idleTimeoutMs"] = 20_000.into();
     net.0.items.put("op/config", &config);
     let settings = settings.take().expect("the region has started a gateway");
-    let process = Process::gateway(&settings, name);
+    let process = Process::gateway(&settings, name, Some(MEMORY_MB));
     eventually("the new limits are in force", || {
         let page = process.page("/status");
         page.lines().any(|line| line.contains("\"generation\": 2,"))
