Keep the signal handlers of a process until it ends

Cause: compio's listener receives one signal and restores the default action of the signal when it is dropped. After the first SIGTERM or SIGINT nobody listened any more, so a second SIGTERM during a graceful stop ended the process at once, with all requests in progress and the unwritten log lines. SIGHUP had no handler from its receipt until the settings file had been read, and in routers and sidecars none at all.

Change: shell::Signals keeps a listener of each signal that is never polled again, so that the default action is not restored, and listens for the next signal before it reports one. The handlers are installed before a process binds its sockets. Routers and sidecars report SIGHUP as gateways do.

Routers and sidecars have no test of it.

--- a/src/cli/verbs.rs
+++ b/src/cli/verbs.rs
@@ -43,7 +43,8 @@
         KeyError,
         Logs,
         RouterProcess,
-        SidecarProcess, //
+        SidecarProcess,
+        Signals, //
     },
     story, //
 };
@@ -67,8 +68,9 @@
   --help, --version
 ";
 
-const SIGTERM: i32 = 15;
 const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
 
 /// The environment variable with the path of a gateway's settings file, used if `--settings` is
 /// missing.
@@ -208,37 +210,52 @@
 
 /// Reads the settings file of the required option `--settings`.
 ///
-/// The flag returned with the settings says whether they are only to be checked.
+/// Returns them with the path, and whether they are only to be checked.
 fn required_settings<T: DeserializeOwned + settings::Check>(
     args: &[String],
-) -> Result<(T, bool), VerbError> {
+) -> Result<(T, String, bool), VerbError> {
     let mut options = Options::new();
     options.reqopt("", "settings", "the settings file", "FILE");
     let matches = parse_role_options(options, args)?;
     let path = matches.opt_str("settings").unwrap_or_default();
-    Ok((read_settings(&path)?, matches.opt_present("check")))
+    let settings = read_settings(&path)?;
+    Ok((settings, path, matches.opt_present("check")))
 }
 
 fn run_router(args: &[String]) -> Result<(), VerbError> {
-    let (settings, check) = required_settings::<RouterSettings>(args)?;
+    let (settings, path, check) = required_settings::<RouterSettings>(args)?;
     if check {
         return Ok(());
     }
     run_role(async {
+        let mut stops = StopSignals::new()?;
+        compio::runtime::spawn(report_reloads(
+            Signals::new(SIGHUP)?,
+            path,
+            settings.clone(),
+        ))
+        .detach();
         let process = RouterProcess::start(settings).await?;
-        stop_signal().await?;
+        stops.receive().await?;
         drain_result(process.drain().await)
     })
 }
 
 fn run_sidecar(args: &[String]) -> Result<(), VerbError> {
-    let (settings, check) = required_settings::<SidecarSettings>(args)?;
+    let (settings, path, check) = required_settings::<SidecarSettings>(args)?;
     if check {
         return Ok(());
     }
     run_role(async {
+        let mut stops = StopSignals::new()?;
+        compio::runtime::spawn(report_reloads(
+            Signals::new(SIGHUP)?,
+            path,
+            settings.clone(),
+        ))
+        .detach();
         let process = SidecarProcess::start(settings).await?;
-        stop_signal().await?;
+        stops.receive().await?;
         drain_result(process.drain().await)
     })
 }
@@ -257,9 +274,15 @@
         return Ok(());
     }
     run_role(async {
-        compio::runtime::spawn(report_reloads(path, settings.clone())).detach();
+        let mut stops = StopSignals::new()?;
+        compio::runtime::spawn(report_reloads(
+            Signals::new(SIGHUP)?,
+            path,
+            settings.clone(),
+        ))
+        .detach();
         let process = GatewayProcess::start(settings).await?;
-        stop_signal().await?;
+        stops.receive().await?;
         drain_result(process.drain().await)
     })
 }
@@ -267,9 +290,13 @@
 /// Reads and checks the settings file again whenever the process receives SIGHUP.
 ///
 /// A process keeps its settings until it restarts, so a change is only logged.
-async fn report_reloads(path: String, current: GatewaySettings) {
-    while compio::signal::unix::signal(SIGHUP).await.is_ok() {
-        match read_settings::<GatewaySettings>(&path) {
+async fn report_reloads<T: DeserializeOwned + settings::Check + PartialEq>(
+    mut hangups: Signals,
+    path: String,
+    current: T,
+) {
+    while hangups.receive().await.is_ok() {
+        match read_settings::<T>(&path) {
             Ok(new) if new == current => log::info!("event=reload changed=false"),
             Ok(_) => log::warn!("event=reload changed=true in_force=at-restart"),
             Err(err) => log::error!("event=reload-failed error=\"{err}\""),
@@ -304,12 +331,28 @@
     result
 }
 
-/// Waits for SIGTERM or SIGINT.
-async fn stop_signal() -> Result<(), VerbError> {
-    let term = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-    let int = std::pin::pin!(compio::signal::ctrl_c());
-    let first = futures_util::future::select(term, int).await;
-    Ok(first.factor_first().0?)
+/// The signals that stop a process gracefully. While the value exists, a repeated signal changes
+/// nothing.
+struct StopSignals {
+    term: Signals,
+    int: Signals,
+}
+
+impl StopSignals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            term: Signals::new(SIGTERM)?,
+            int: Signals::new(SIGINT)?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn receive(&mut self) -> io::Result<()> {
+        let term = std::pin::pin!(self.term.receive());
+        let int = std::pin::pin!(self.int.receive());
+        let first = futures_util::future::select(term, int).await;
+        first.factor_first().0
+    }
 }
 
 /// Returns an error if a process stopped before all of its requests had ended.
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -18,6 +18,7 @@
 mod router;
 mod rules_sync;
 mod sidecar;
+mod signals;
 mod stream;
 mod target;
 mod tls;
@@ -32,6 +33,7 @@
     StartError, //
 };
 pub use sidecar::SidecarProcess;
+pub use signals::Signals;
 pub use tls::{
     KeyError,
     generate_keys, //
