Log and count whether a retry was charged to the budget

Nor could a spent budget be told from a request that had no attempts or no other target left. `attempt-failed` now has `retry` (charged, uncharged, over-budget, no-attempts, no-target, may-have-run, quarantined, ended) and `budget_left`; `redwingyard_retries_total{verdict}` counts the same. What is retried does not change. With the verdict of a spent budget replaced by `NoAttempts`, `a_spent_budget_is_told_from_other_causes` is red (cases over_budget, refused_over_budget). The tests that asked `may_retry` ask `decide_retry(..).is_allowed()`; that of a quarantined part now asks for the verdict itself.

--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -76,5 +76,9 @@
     RequestSpec,
     part_id,
 };
+pub use retry::{
+    RetryDecision,
+    RetryVerdict, //
+};
 use throttle::Fairness;
 pub use usage::RecentService;
--- a/src/pool/retry.rs
+++ b/src/pool/retry.rs
@@ -2,22 +2,81 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use super::{
     Fault,
     Output,
     Pool,
     core::Stage, //
 };
-use crate::ids::{
-    Sequence,
-    Target,
-    Time, //
+use crate::{
+    ids::{
+        Sequence,
+        Target,
+        Time, //
+    },
+    router::RetryBudget, //
 };
 
 /// The attempts that may fail without reaching a target before a request is given up; they are
 /// counted apart from [`RequestSpec::attempts`](super::RequestSpec::attempts).
 const MAX_UNREACHED: u32 = 3;
 
+/// Whether a request is retried, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum RetryVerdict {
+    /// It is retried, which was charged to the retry budget.
+    #[display("charged")]
+    Charged,
+    /// It is retried without a charge, as no target has seen the request.
+    #[display("uncharged")]
+    Uncharged,
+    /// The retry budget of the service is spent.
+    #[display("over-budget")]
+    OverBudget,
+    /// The request has had all its attempts.
+    #[display("no-attempts")]
+    NoAttempts,
+    /// All targets of the service have been tried.
+    #[display("no-target")]
+    NoTarget,
+    /// The request may have run and is not idempotent.
+    #[display("may-have-run")]
+    MayHaveRun,
+    /// A part of the prompt is quarantined.
+    #[display("quarantined")]
+    Quarantined,
+    /// The request has ended.
+    #[display("ended")]
+    Ended,
+}
+
+/// The decision about a request whose attempt has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryDecision {
+    /// Whether the request is retried.
+    pub verdict: RetryVerdict,
+    /// The retries that are left in the budget of the service afterwards.
+    pub left: u32,
+}
+
+impl RetryDecision {
+    /// Returns whether the request is retried.
+    ///
+    /// ```
+    /// use redwingyard::pool::{RetryDecision, RetryVerdict};
+    /// let decision = RetryDecision { verdict: RetryVerdict::OverBudget, left: 0 };
+    /// assert!(!decision.is_allowed());
+    /// ```
+    pub fn is_allowed(self) -> bool {
+        matches!(
+            self.verdict,
+            RetryVerdict::Charged | RetryVerdict::Uncharged
+        )
+    }
+}
+
 impl Pool {
     /// Records that an attempt has failed. The request stays registered until [`Pool::requeue`] or
     /// [`Pool::end`] is called.
@@ -55,29 +114,51 @@
         self.take_outputs()
     }
 
-    /// Returns whether a request whose attempt has failed may be retried.
+    /// Decides whether a request whose attempt has failed is retried.
     ///
     /// A retry is spent from the service's retry budget, unless the target could not be reached.
-    pub fn may_retry(&mut self, now: Time, sequence: Sequence, fault: Fault) -> bool {
-        if self.quarantined_part(now, sequence).is_some() {
-            return false;
-        }
+    pub fn decide_retry(&mut self, now: Time, sequence: Sequence, fault: Fault) -> RetryDecision {
+        let verdict = match self.retry_obstacle(now, sequence, fault) {
+            Some(obstacle) => obstacle,
+            None if fault == Fault::Unreachable => RetryVerdict::Uncharged,
+            None => match self.budget_of(sequence).is_some_and(RetryBudget::spend) {
+                true => RetryVerdict::Charged,
+                false => RetryVerdict::OverBudget,
+            },
+        };
+        let left = self.budget_of(sequence).map_or(0, |budget| budget.left());
+        RetryDecision { verdict, left }
+    }
+
+    /// Returns what prevents a retry apart from the retry budget, if anything does.
+    fn retry_obstacle(&self, now: Time, sequence: Sequence, fault: Fault) -> Option<RetryVerdict> {
         let Some(request) = self.requests.get(&sequence) else {
-            return false;
+            return Some(RetryVerdict::Ended);
         };
         let spec = &request.spec;
-        let safe = fault.is_unexecuted() || spec.idempotent;
         let has_attempts = match fault {
             Fault::Unreachable => request.unreached <= MAX_UNREACHED,
             // A refused attempt did not run, so one more than the allowed attempts may be made.
             Fault::Refused | Fault::Moved => request.reached <= spec.attempts,
             Fault::Lost | Fault::Error => request.reached < spec.attempts,
         };
-        let service = spec.service;
-        let others = self.has_untried_target(sequence);
-        safe && has_attempts
-            && others
-            && (fault == Fault::Unreachable || self.service_mut(service).budget.spend())
+        if self.quarantined_part(now, sequence).is_some() {
+            Some(RetryVerdict::Quarantined)
+        } else if !fault.is_unexecuted() && !spec.idempotent {
+            Some(RetryVerdict::MayHaveRun)
+        } else if !has_attempts {
+            Some(RetryVerdict::NoAttempts)
+        } else if !self.has_untried_target(sequence) {
+            Some(RetryVerdict::NoTarget)
+        } else {
+            None
+        }
+    }
+
+    /// Returns the retry budget of a request's service.
+    fn budget_of(&mut self, sequence: Sequence) -> Option<&mut RetryBudget> {
+        let service = self.requests.get(&sequence)?.spec.service;
+        Some(&mut self.service_mut(service).budget)
     }
 
     /// Starts the cooldown that a target has requested, in which no request is sent to it.
--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -37,6 +37,17 @@
         self.tokens = (self.tokens + 1).min(self.capacity);
     }
 
+    /// Returns how many retries are left.
+    ///
+    /// ```
+    /// let mut budget = redwingyard::router::RetryBudget::new(3);
+    /// budget.spend();
+    /// assert_eq!(budget.left(), 2);
+    /// ```
+    pub fn left(&self) -> u32 {
+        self.tokens / RETRY_COST
+    }
+
     /// Takes the tokens of a retry and returns whether there were enough.
     ///
     /// ```
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -160,11 +160,15 @@
     pub(super) fn retry(&mut self, fault: Fault) -> bool {
         self.maybe_ran |= !fault.is_unexecuted();
         self.process.metrics.count_fault(&fault.to_string());
-        let again = self.process.retry(self.sequence, fault);
+        let decision = self.process.retry(self.sequence, fault);
+        let again = decision.is_allowed();
         log::info!(
-            "event=attempt-failed request={} sequence={} fault={fault} again={again}",
+            "event=attempt-failed request={} sequence={} fault={fault} again={again} retry={} \
+             budget_left={}",
             self.request.id,
             self.sequence,
+            decision.verdict,
+            decision.left,
         );
         again
     }
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -23,6 +23,7 @@
     registry: Registry,
     outcomes: IntCounterVec,
     faults: IntCounterVec,
+    retries: IntCounterVec,
     wait: Histogram,
     first_byte: Histogram,
     total: Histogram,
@@ -68,6 +69,11 @@
                 "Attempts at targets that failed, by fault.",
                 "fault",
             ),
+            retries: counter(
+                "redwingyard_retries_total",
+                "Decisions on a retry after a failed attempt, by verdict.",
+                "verdict",
+            ),
             wait: histogram(
                 "redwingyard_wait_seconds",
                 "Time from arrival until a request was sent to a target.",
@@ -122,6 +128,10 @@
         self.faults.with_label_values(&[fault]).inc();
     }
 
+    pub(super) fn count_retry(&self, verdict: &str) {
+        self.retries.with_label_values(&[verdict]).inc();
+    }
+
     pub(super) fn observe_wait(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
     }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -42,6 +42,7 @@
         Pool,
         Refusal,
         RequestSpec,
+        RetryDecision,
         Settings,
         part_id, //
     },
@@ -293,18 +294,19 @@
         self.perform(outputs);
     }
 
-    /// Reports a failed attempt to the pool. Returns whether the request is queued again for
-    /// another attempt.
-    pub(super) fn retry(&self, sequence: Sequence, fault: Fault) -> bool {
+    /// Reports a failed attempt to the pool, and queues the request again for another attempt if
+    /// the returned decision allows it.
+    pub(super) fn retry(&self, sequence: Sequence, fault: Fault) -> RetryDecision {
         let now = self.clock.now();
         let outputs = self.pool.borrow_mut().fail(now, sequence, fault);
         self.perform(outputs);
-        let again = self.pool.borrow_mut().may_retry(now, sequence, fault);
-        if again {
+        let decision = self.pool.borrow_mut().decide_retry(now, sequence, fault);
+        self.metrics.count_retry(&decision.verdict.to_string());
+        if decision.is_allowed() {
             let outputs = self.pool.borrow_mut().requeue(now, sequence);
             self.perform(outputs);
         }
-        again
+        decision
     }
 
     /// Does the periodic work: applies updates of the store, measures lag and memory, expires
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -253,7 +253,7 @@
     fn fail(&mut self, key: Key, fault: Fault) {
         let pool = &mut self.pools[key.0];
         let outputs = pool.fail(self.now, key.1, fault);
-        let again = pool.may_retry(self.now, key.1, fault);
+        let again = pool.decide_retry(self.now, key.1, fault).is_allowed();
         self.perform(key.0, outputs);
         if !again {
             return self.end(key, false);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -29,6 +29,7 @@
         PromptPart,
         Refusal,
         RequestSpec,
+        RetryVerdict,
         Settings,
         TargetSpec,
         UsageReport, //
@@ -158,7 +159,8 @@
     let first = sent(&outputs)[0];
     pool.fail(millis(5), sequence, case.fault);
     assert_eq!(
-        pool.may_retry(millis(5), sequence, case.fault),
+        pool.decide_retry(millis(5), sequence, case.fault)
+            .is_allowed(),
         case.retried
     );
     if case.retried {
@@ -168,6 +170,52 @@
     }
 }
 
+struct VerdictCase {
+    idempotent: bool,
+    attempts: u32,
+    targets: u32,
+    fault: Fault,
+    /// Whether the budget of the service is spent.
+    spent: bool,
+    verdict: RetryVerdict,
+}
+
+const VERDICT_CASE: VerdictCase = VerdictCase {
+    idempotent: true,
+    attempts: 2,
+    targets: 2,
+    fault: Fault::Lost,
+    spent: false,
+    verdict: RetryVerdict::Charged,
+};
+
+#[rstest]
+#[case::charged(VERDICT_CASE)]
+#[case::refused(VerdictCase { fault: Fault::Refused, ..VERDICT_CASE })]
+#[case::uncharged(VerdictCase { fault: Fault::Unreachable, spent: true, verdict: RetryVerdict::Uncharged, ..VERDICT_CASE })]
+#[case::over_budget(VerdictCase { spent: true, verdict: RetryVerdict::OverBudget, ..VERDICT_CASE })]
+#[case::refused_over_budget(VerdictCase { fault: Fault::Refused, spent: true, verdict: RetryVerdict::OverBudget, ..VERDICT_CASE })]
+#[case::no_attempts(VerdictCase { attempts: 1, spent: true, verdict: RetryVerdict::NoAttempts, ..VERDICT_CASE })]
+#[case::no_target(VerdictCase { targets: 1, spent: true, verdict: RetryVerdict::NoTarget, ..VERDICT_CASE })]
+#[case::may_have_run(VerdictCase { idempotent: false, spent: true, verdict: RetryVerdict::MayHaveRun, ..VERDICT_CASE })]
+fn a_spent_budget_is_told_from_other_causes(#[case] case: VerdictCase) {
+    let mut pool = Pool::new(Settings {
+        retries: if case.spent { 0 } else { 10 },
+        ..Settings::default()
+    });
+    pool.set_targets(Duration::ZERO, plain_targets(case.targets));
+    let spec = RequestSpec {
+        idempotent: case.idempotent,
+        attempts: case.attempts,
+        ..plain_request(7)
+    };
+    let (sequence, _) = pool.arrive(millis(5), spec);
+    pool.fail(millis(5), sequence, case.fault);
+    let decision = pool.decide_retry(millis(5), sequence, case.fault);
+    assert_eq!(decision.verdict, case.verdict);
+    assert_eq!(decision.left == 0, case.spent);
+}
+
 #[test]
 fn retries_stay_within_the_retry_budget() {
     let mut pool = Pool::new(Settings {
@@ -181,7 +229,7 @@
         let (sequence, outputs) = pool.arrive(now, plain_request(7));
         assert_eq!(sent(&outputs).len(), 1);
         pool.fail(now, sequence, Fault::Lost);
-        retries += u32::from(pool.may_retry(now, sequence, Fault::Lost));
+        retries += u32::from(pool.decide_retry(now, sequence, Fault::Lost).is_allowed());
         pool.end(now, sequence, false);
     }
     assert!(
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -41,6 +41,7 @@
         QuarantineChange,
         Refusal,
         RequestSpec,
+        RetryVerdict,
         Settings,
         Verdict, //
     },
@@ -696,7 +697,10 @@
     };
     assert!(outputs.iter().any(refused), "{outputs:?}");
     pool.fail(now, third, Fault::Lost);
-    assert!(!pool.may_retry(now, third, Fault::Lost));
+    assert_eq!(
+        pool.decide_retry(now, third, Fault::Lost).verdict,
+        RetryVerdict::Quarantined
+    );
     let (_, outputs) = pool.arrive(now, request(&["bad", "4"]));
     assert!(outputs.iter().any(|output| matches!(
         output,
