--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -76,6 +76,10 @@
     RequestSpec,
     part_id,
 };
+pub use retry::{
+    RetryDecision,
+    RetryVerdict, //
+};
 use throttle::Fairness;
 pub use usage::{
     RecentService,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -26,6 +26,7 @@
     faults: IntCounterVec,
     pub(super) accepted: IntCounter,
     cuts: IntCounterVec,
+    retries: IntCounterVec,
     wait: Histogram,
     first_byte: Histogram,
     total: Histogram,
@@ -83,6 +84,11 @@
                 "Requests whose connection ended before their answer was complete, by cause.",
                 "cause",
             ),
+            retries: counter(
+                "redwingyard_retries_total",
+                "Decisions on a retry after a failed attempt, by verdict.",
+                "verdict",
+            ),
             wait: histogram(
                 "redwingyard_wait_seconds",
                 "Time from arrival until a request was sent to a target.",
@@ -141,6 +147,10 @@
         self.cuts.with_label_values(&[cause]).inc();
     }
 
+    pub(super) fn count_retry(&self, verdict: &str) {
+        self.retries.with_label_values(&[verdict]).inc();
+    }
+
     pub(super) fn observe_wait(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
     }
