--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -235,7 +235,7 @@
             let rate = u64::from(fleet.engines) * TOKEN_RATE;
             pool.set_shares(shares.collect(), Some(rate));
             pool.set_targets(Duration::ZERO, targets.clone());
-            pool.set_routers(fleet.routers);
+            pool.set_routers(Duration::ZERO, fleet.routers);
             pool
         };
         let count = fleet.routers;
@@ -304,6 +304,7 @@
                     self.end((router, sequence), false);
                     self.refuse(asked, retry);
                 }
+                Output::Keep { .. } => {}
                 Output::Expire { sequence } | Output::Abandon { sequence } => {
                     self.end((router, sequence), false);
                 }
