Log and measure how old the knowledge of a caller's presence is

Each send line now has caller_age_ms, a caller-gone line says for how long at most the close lay unread and which target was left, and two histograms have the same figures.

--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -113,13 +113,17 @@
         let Some(listing) = self.process.available_target(target) else {
             return AttemptResult::Failed(Fault::Unreachable);
         };
+        let caller_age = self.caller_age();
         log::info!(
-            "event=send request={} sequence={} target={} attempt_ms={}",
+            "event=send request={} sequence={} target={} attempt_ms={} caller_age_ms={}",
             self.request.id,
             self.sequence,
             listing.name,
             self.elapsed().as_millis(),
+            caller_age.as_millis(),
         );
+        self.process.metrics.observe_caller_age(caller_age);
+        self.target = Some(listing.name.clone());
         let request = self.target_request(&listing.name, resume);
         let connections = self.process.connections_to(listing.address);
         let opened = {
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -44,6 +44,7 @@
     shell::{
         body::Body,
         fields::strip_hop_by_hop,
+        presence::Presence,
         problem, //
     }, //
 };
@@ -55,6 +56,8 @@
     pub(super) sequence: Sequence,
     pub(super) decisions: UnboundedReceiver<Decision>,
     pub(super) request: CallerRequest,
+    /// The name of the target that the request was sent to, while its attempt lasts.
+    pub(super) target: Option<String>,
     /// Whether a target may have run the request in a failed attempt.
     maybe_ran: bool,
     ended: bool,
@@ -74,6 +77,8 @@
     pub(super) resumable: bool,
     pub(super) arrived: Time,
     pub(super) deadline: Time,
+    /// Tells whether the caller is still there.
+    pub(super) presence: Presence,
 }
 
 impl Call {
@@ -88,6 +93,7 @@
             sequence,
             decisions,
             request,
+            target: None,
             maybe_ran: false,
             ended: false,
         }
@@ -105,6 +111,28 @@
         self.request.deadline.saturating_sub(now)
     }
 
+    /// Returns for how long the caller may have been gone: the time since it was last known to be
+    /// there.
+    pub(super) fn caller_age(&self) -> Duration {
+        let now = self.process.clock.now();
+        now.saturating_sub(self.request.presence.seen())
+    }
+
+    /// Logs that the caller has closed its connection, and for how long at most the close lay
+    /// unread.
+    fn log_caller_gone(&self) {
+        let closed = self.process.earliest_arrival(self.request.presence.seen());
+        let age = self.process.clock.now().saturating_sub(closed);
+        self.process.metrics.observe_hangup(age);
+        log::info!(
+            "event=caller-gone request={} sequence={} target={} age_ms={}",
+            self.request.id,
+            self.sequence,
+            self.target.as_deref().unwrap_or("-"),
+            age.as_millis(),
+        );
+    }
+
     /// Ends the request, counts its outcome and logs it.
     pub(super) fn end(&mut self, outcome: &str, answered: bool) {
         self.ended = true;
@@ -158,6 +186,7 @@
 
     /// Reports a failed attempt and returns whether another one follows.
     pub(super) fn retry(&mut self, fault: Fault) -> bool {
+        self.target = None;
         self.maybe_ran |= !fault.is_unexecuted();
         self.process.metrics.count_fault(&fault.to_string());
         let again = self.process.retry(self.sequence, fault);
@@ -270,6 +299,7 @@
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended {
+            self.log_caller_gone();
             self.end("caller-gone", false);
         }
     }
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -54,6 +54,7 @@
             discard,
             receive_body, //
         },
+        presence::Presence,
         problem, //
     }, //
 };
@@ -70,9 +71,10 @@
     process: Rc<Process>,
     request: Request<Incoming>,
     arrived: Time,
+    presence: Presence,
 ) -> Response<Body> {
     let (head, mut body) = request.into_parts();
-    match admit(&process, head, &mut body, arrived).await {
+    match admit(&process, head, &mut body, arrived, presence).await {
         Ok(call) => call.run().await,
         Err(response) => {
             discard(body);
@@ -87,6 +89,7 @@
     head: request::Parts,
     body: &mut Incoming,
     arrived: Time,
+    presence: Presence,
 ) -> Result<Call, Rejection> {
     let unread = process.clock.now().saturating_sub(arrived);
     process.apply_updates();
@@ -150,6 +153,7 @@
         resumable: route.repeat == RetryPolicy::Resume,
         arrived,
         deadline,
+        presence,
     };
     Ok(Call::new(process.clone(), caller_request, spec))
 }
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -27,6 +27,8 @@
     first_byte: Histogram,
     total: Histogram,
     end_check: Histogram,
+    caller_age: Histogram,
+    hangup: Histogram,
     pub(super) active: IntGauge,
     pub(super) generation: IntGauge,
     pub(super) rules_age: IntGauge,
@@ -84,6 +86,14 @@
                 "redwingyard_end_check_seconds",
                 "Time to learn the state of the target of an answer that ended with its connection.",
             ),
+            caller_age: histogram(
+                "redwingyard_caller_age_seconds",
+                "Time since the caller was last known to be there when its request was sent.",
+            ),
+            hangup: histogram(
+                "redwingyard_hangup_seconds",
+                "Longest time for which the close of a caller may have lain unread.",
+            ),
             active: gauge("redwingyard_requests", "Requests that have not ended."),
             generation: gauge("redwingyard_generation", "Generation in force."),
             rules_age: gauge(
@@ -138,6 +148,14 @@
         self.end_check.observe(time.as_secs_f64());
     }
 
+    pub(super) fn observe_caller_age(&self, time: Duration) {
+        self.caller_age.observe(time.as_secs_f64());
+    }
+
+    pub(super) fn observe_hangup(&self, time: Duration) {
+        self.hangup.observe(time.as_secs_f64());
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(super) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -68,6 +68,7 @@
             connection_limit,
             set_connection_close, //
         },
+        presence::Presence,
         stream::{
             LastEmpty,
             Stream, //
@@ -313,14 +314,16 @@
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let reset = stream.reset_handle();
+    let presence = Presence::new(drained.clone());
     let limit = process.rules().limit(Limit::HeaderBytes);
     let max_head = limit.map_or(DEFAULT_MAX_HEAD, |limit| limit as usize);
     let service = service_fn(|request: Request<Incoming>| {
         let (process, callers) = (process.clone(), callers.clone());
         let arrived = process.earliest_arrival(drained.at());
         let (version, reset) = (request.version(), reset.clone());
+        let presence = presence.clone();
         async move {
-            let response = front::handle(process.clone(), request, arrived).await;
+            let response = front::handle(process.clone(), request, arrived, presence).await;
             let mut response = body::for_version(response, version, &reset);
             close_if_near_limit(&callers.memory, callers.max_connections, &mut response);
             if process.is_stopping() {
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -14,6 +14,7 @@
 mod logs;
 mod memory;
 mod platform;
+mod presence;
 mod problem;
 mod router;
 mod rules_sync;
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -27,6 +27,7 @@
     match event {
         "place" => "chose a target:",
         "send" => "sent it:",
+        "caller-gone" => "noticed that its caller had left:",
         "first" => "the target's answer began:",
         "refuse" => "refused it:",
         "unanswered" => "its connection broke before its answer had begun; its prompt's parts:",
