--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -48,6 +48,10 @@
     shell::{
         body::Body,
         fields::strip_hop_by_hop,
+        presence::{
+            CallerGone,
+            Presence, //
+        },
         problem, //
     }, //
 };
@@ -59,6 +63,8 @@
     pub(super) sequence: Sequence,
     pub(super) decisions: UnboundedReceiver<Decision>,
     pub(super) request: CallerRequest,
+    /// The name of the target that the request was sent to, while its attempt lasts.
+    pub(super) target: Option<String>,
     /// Whether a target may have run the request in a failed attempt.
     maybe_ran: bool,
     ended: bool,
@@ -80,6 +86,8 @@
     pub(super) deadline: Time,
     /// The connection's record of this request.
     pub(super) exchange: Rc<Exchange>,
+    /// Tells whether the caller is still there.
+    pub(super) presence: Presence,
 }
 
 impl Call {
@@ -95,6 +103,7 @@
             sequence,
             decisions,
             request,
+            target: None,
             maybe_ran: false,
             ended: false,
         }
@@ -112,9 +121,34 @@
         self.request.deadline.saturating_sub(now)
     }
 
-    /// Ends the request, counts its outcome and logs it.
+    /// Returns for how long the caller may have been gone: the time since it was last known to be
+    /// there.
+    pub(super) fn caller_age(&self) -> Duration {
+        let now = self.process.clock.now();
+        now.saturating_sub(self.request.presence.seen())
+    }
+
+    /// Ends the request because the caller has closed its connection, and logs for how long at most
+    /// the close lay unread.
+    pub(super) fn leave(&mut self) {
+        let closed = self.process.earliest_arrival(self.request.presence.seen());
+        let age = self.process.clock.now().saturating_sub(closed);
+        self.process.metrics.observe_hangup(age);
+        log::info!(
+            "event=caller-gone request={} sequence={} target={} age_ms={}",
+            self.request.id,
+            self.sequence,
+            self.target.as_deref().unwrap_or("-"),
+            age.as_millis(),
+        );
+        self.end("caller-gone", false);
+    }
+
+    /// Ends the request, counts its outcome and logs it. Only the first outcome counts.
     pub(super) fn end(&mut self, outcome: &str, answered: bool) {
-        self.ended = true;
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
         self.process.end(self.sequence, answered);
         self.process.metrics.count_outcome(outcome);
         self.process.metrics.observe_total(self.elapsed());
@@ -138,25 +172,30 @@
     }
 
     /// Carries out the pool's decisions until there is a response for the caller.
-    pub(super) async fn run(mut self) -> Response<Body> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has closed its connection.
+    pub(super) async fn run(mut self) -> Result<Response<Body>, CallerGone> {
         loop {
             let target = match self.next_decision().await {
                 Decision::Send(target) => target,
-                Decision::Refuse(cause, retry) => return self.refuse(cause, retry),
-                Decision::Expire => return self.expire(),
+                Decision::Refuse(cause, retry) => return Ok(self.refuse(cause, retry)),
+                Decision::Expire => return Ok(self.expire()),
                 // The decision was about an attempt that has ended already.
                 Decision::Abandon => continue,
             };
             match self.attempt(target, None).await {
                 AttemptResult::Answered(answer) => {
                     if let Some(answer) = self.unless_retried(answer) {
-                        return self.deliver(*answer);
+                        return Ok(self.deliver(*answer));
                     }
                 }
-                AttemptResult::Expired => return self.expire(),
+                AttemptResult::Expired => return Ok(self.expire()),
+                AttemptResult::CallerGone => return Err(CallerGone),
                 AttemptResult::Failed(fault) => {
                     if !self.retry(fault) {
-                        return self.fail(fault);
+                        return Ok(self.fail(fault));
                     }
                 }
             }
@@ -165,6 +204,7 @@
 
     /// Reports a failed attempt and returns whether another one follows.
     pub(super) fn retry(&mut self, fault: Fault) -> bool {
+        self.target = None;
         self.maybe_ran |= !fault.is_unexecuted();
         self.process.metrics.count_fault(&fault.to_string());
         let decision = self.process.retry(self.sequence, fault);
@@ -281,7 +321,7 @@
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended {
-            self.end("caller-gone", false);
+            self.leave();
         }
     }
 }
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -58,6 +58,10 @@
             discard,
             receive_body, //
         },
+        presence::{
+            CallerGone,
+            Presence, //
+        },
         problem, //
     }, //
 };
@@ -70,15 +74,20 @@
 const UNREADY_RETRY: Duration = Duration::from_millis(300);
 
 /// Answers one request of a caller, which arrived at time `arrived` on the connection of `exchange`.
+///
+/// # Errors
+///
+/// Fails if the caller has closed its connection, which is then closed here too.
 pub(super) async fn handle(
     process: Rc<Process>,
     request: Request<Incoming>,
     arrived: Time,
     exchange: Rc<Exchange>,
-) -> Response<Body> {
+    presence: Presence,
+) -> Result<Response<Body>, CallerGone> {
     let (head, mut body) = request.into_parts();
-    let response = match admit(&process, head, &mut body, arrived, &exchange).await {
-        Ok(call) => call.run().await,
+    let response = match admit(&process, head, &mut body, arrived, &exchange, presence).await {
+        Ok(call) => call.run().await?,
         Err(response) => {
             discard(body);
             *response
@@ -88,7 +97,7 @@
     if matches!(response.body(), Body::Full(_)) {
         exchange.pass_answer();
     }
-    response
+    Ok(response)
 }
 
 /// Admits a request to the pool's queue, or returns the response that rejects it.
@@ -98,6 +107,7 @@
     body: &mut Incoming,
     arrived: Time,
     exchange: &Rc<Exchange>,
+    presence: Presence,
 ) -> Result<Call, Rejection> {
     let unread = process.clock.now().saturating_sub(arrived);
     process.apply_updates();
@@ -163,6 +173,7 @@
         arrived,
         deadline,
         exchange: exchange.clone(),
+        presence,
     };
     Ok(Call::new(process.clone(), caller_request, spec))
 }
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -5,7 +5,6 @@
         Cell,
         RefCell, //
     },
-    convert::Infallible,
     net::SocketAddr,
     rc::{
         Rc,
@@ -75,6 +74,10 @@
             connection_limit,
             set_connection_close, //
         },
+        presence::{
+            CallerGone,
+            Presence, //
+        },
         stream::{
             LastEmpty,
             Stream, //
@@ -348,6 +351,7 @@
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let reset = stream.reset_handle();
+    let presence = Presence::new(process.clock.clone(), stream.socket(), drained.clone());
     let limit = process.rules().limit(Limit::HeaderBytes);
     let max_head = limit.map_or(DEFAULT_MAX_HEAD, |limit| limit as usize);
     let service = service_fn(|request: Request<Incoming>| {
@@ -355,15 +359,16 @@
         let arrived = process.earliest_arrival(drained.at());
         process.count_head();
         let (version, reset) = (request.version(), reset.clone());
-        let exchange = exchange.clone();
+        let (exchange, presence) = (exchange.clone(), presence.clone());
         async move {
-            let response = front::handle(process.clone(), request, arrived, exchange).await;
+            let handled = front::handle(process.clone(), request, arrived, exchange, presence);
+            let response = handled.await?;
             let mut response = body::for_version(response, version, &reset);
             close_if_near_limit(&callers.memory, callers.max_connections, &mut response);
             if process.is_stopping() {
                 set_connection_close(&mut response);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, CallerGone>(response)
         }
     });
     let idle_limit = process.rules().limit(Limit::IdleTime);
