Reproduce that answers of other requests are believed

Change: the log line answer-discarded names an answer that was not taken for that of its request. Tests for the three reports, red on this code and listed in KNOWN-RED.

--- a/examples/standin/mod.rs
+++ b/examples/standin/mod.rs
@@ -11,6 +11,7 @@
 pub mod instance;
 pub mod plain;
 pub mod platform;
+pub mod raw;
 pub mod scripted;
 pub mod server;
 pub mod store;
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use hyper::header::{
     HeaderMap,
     HeaderName,
@@ -100,6 +101,20 @@
     Mismatched,
 }
 
+/// How the id in a response compares with that of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum IdEcho {
+    /// The response has the id of the request, or neither has one.
+    #[display("same")]
+    Same,
+    /// The response has no id.
+    #[display("missing")]
+    Missing,
+    /// The response has the id of another request.
+    #[display("other")]
+    Other,
+}
+
 /// What a target's response says about the target itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notice {
@@ -192,6 +207,26 @@
     }
 }
 
+/// Compares the id in a response with that of the request; an empty `id` stands for none.
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderValue};
+/// use redwingyard::platform::{IdEcho, id_echo};
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(id_echo(&headers, "7"), IdEcho::Missing);
+/// headers.insert("request-id", HeaderValue::from_static("8"));
+/// assert_eq!(id_echo(&headers, "7"), IdEcho::Other);
+/// ```
+pub fn id_echo(headers: &HeaderMap, id: &str) -> IdEcho {
+    let mut echoed = headers.get_all(ID).iter();
+    match headers.contains_key(ID) {
+        false if id.is_empty() => IdEcho::Same,
+        false => IdEcho::Missing,
+        true if echoed.all(|value| value.as_bytes() == id.as_bytes()) => IdEcho::Same,
+        true => IdEcho::Other,
+    }
+}
+
 /// Classifies a target's response to the request `id` by its status and header fields.
 ///
 /// ```
@@ -203,14 +238,14 @@
 /// assert_eq!(classify_response(200, &headers, "7"), ResponseKind::Mismatched);
 /// ```
 pub fn classify_response(status: u16, headers: &HeaderMap, id: &str) -> ResponseKind {
-    let echoed = headers.get(ID);
-    if echoed.is_some_and(|value| value.as_bytes() != id.as_bytes()) {
+    let echo = id_echo(headers, id);
+    if echo == IdEcho::Other {
         return ResponseKind::Mismatched;
     }
     match status {
         421 => ResponseKind::Moved,
         _ if headers.contains_key(NOT_EXECUTED) => ResponseKind::NotExecuted,
-        200..300 if echoed.is_none() && !id.is_empty() => ResponseKind::Mismatched,
+        200..300 if echo == IdEcho::Missing => ResponseKind::Mismatched,
         _ => ResponseKind::Answer,
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,12 +15,14 @@
 };
 pub use fields::{
     Envelope,
+    IdEcho,
     Notice,
     ResponseKind,
     TargetFields,
     classify_response,
     client_timeout,
     envelope,
+    id_echo,
     notice,
     set_target_fields, //
 };
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -151,8 +151,17 @@
         let notice = platform::notice(head.status.as_u16(), &head.headers);
         match platform::classify_response(head.status.as_u16(), &head.headers, &self.request.id) {
             ResponseKind::Answer => self.process.apply_notice(target, notice),
-            // The answer carries another request's id, so it is not known whether this one has run.
-            ResponseKind::Mismatched => return AttemptResult::Failed(Fault::Lost),
+            // It is not known whether the target has run this request.
+            ResponseKind::Mismatched => {
+                log::warn!(
+                    "event=answer-discarded request={} target={} status={} echo={}",
+                    self.request.id,
+                    listing.name,
+                    head.status.as_u16(),
+                    platform::id_echo(&head.headers, &self.request.id),
+                );
+                return AttemptResult::Failed(Fault::Lost);
+            }
             ResponseKind::NotExecuted => {
                 self.process.apply_notice(target, notice);
                 read_refusal(body, sender, connections, head);
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -33,6 +33,7 @@
         "abandon" => "gave up an attempt that got no answer",
         "expire" => "its time was over",
         "attempt-error" => "the attempt broke:",
+        "answer-discarded" => "discarded an answer that may belong to another request:",
         "attempt-failed" => "the attempt failed:",
         "stream-broken" => "the answer broke off:",
         "unframed-end" => {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -489,6 +489,137 @@
 fn a_continued_stream_has_each_event_once_and_does_not_look_complete_early(
     #[case] case: Continued,
 ) {
+    assert_continued(&case);
+}
+
+/// The next target answers the continuation of a stream with something else. The caller must not get
+/// its text, and must not take the stream for whole.
+#[rstest]
+#[case::error_of_another_type(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: text/event-stream\r\n\
+             content-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: text/plain\r\ncontent-length: 14\r\n\r\nid: 2\nfailed\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::json_error(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: text/event-stream\r\n\
+             content-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: application/json\r\ncontent-length: 13\r\n\r\n{\"error\": 1}\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::encoded_events(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-encoding: gzip\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::same_type_in_other_words(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: text/event-stream\r\n\
+             content-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: Text/Event-Stream; charset=utf-8\r\n\
+             content-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: true,
+})]
+#[case::error_text_in_place_of_events(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 8\r\n\r\nfailed\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::error_text_without_an_end(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 7\r\n\r\nfailed\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::error_text_in_chunks(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ntransfer-encoding: chunked\r\n\r\n8\r\nfailed\n\n\r\n0\r\n\r\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::error_text_and_no_framing(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\n\r\nfailed\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::error_text_after_an_event(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 22\r\n\r\nid: 2\ndata: b\n\nfailed\n",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: false,
+})]
+#[case::head_of_an_error_after_an_event(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n\
+             HTTP/1.1 500 Failed\r\ncontent-length: 6\r\n\r\nfailed",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: false,
+})]
+#[case::error_without_framing(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 500 Failed\r\nrequest-id: r\r\n\r\nfailed\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::error_with_events(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-type: text/event-stream\r\n\
+             content-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 500 Failed\r\nrequest-id: r\r\ncontent-type: text/event-stream\r\n\
+             content-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::refusal(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 503 Full\r\nrequest-id: r\r\nnot-executed: 1\r\ncontent-length: 6\r\n\r\nfailed",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::success_without_an_id(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::status_204(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 204 No Content\r\nrequest-id: r\r\n\r\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::status_206(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 206 Partial Content\r\nrequest-id: r\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::status_304(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 304 Not Modified\r\nrequest-id: r\r\n\r\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::status_101(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 101 Switching Protocols\r\nrequest-id: r\r\nconnection: upgrade\r\n\
+             upgrade: other\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::interim_answer(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 103 Early Hints\r\nrequest-id: r\r\n\r\nHTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: true,
+})]
+#[case::interim_answer_alone(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 100 Continue\r\nrequest-id: r\r\n\r\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::text_before_the_head(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "failed\r\nHTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 15\r\n\r\nid: 2\ndata: b\n\n",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[case::part_of_a_head(Continued {
+    first: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 90\r\n\r\nid: 1\ndata: a\n\n",
+    second: "HTTP/1.1 200 OK\r\nrequest-id: r\r\ncontent-length: 1",
+    body: "id: 1\ndata: a\n\n", complete: false,
+})]
+#[ignore = "KNOWN-RED: issue 37"]
+fn an_error_of_the_next_target_is_not_appended_to_a_stream(#[case] case: Continued) {
+    assert_continued(&case);
+}
+
+/// Asks for a stream that two targets answer in turn, and compares what the caller gets.
+fn assert_continued(case: &Continued) {
     let config = config(&RESUMABLE, 1);
     let region = Region::start(1, "web", vec![Instance::new("i-1")], &config, |_| {});
     for name in ["i-raw-1", "i-raw-2"] {
