--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -35,6 +35,7 @@
         "keep" => "went on with an attempt that got no answer, as the retry budget was spent:",
         "expire" => "its time was over",
         "attempt-error" => "the attempt broke:",
+        "answer-discarded" => "discarded an answer that may belong to another request:",
         "attempt-failed" => "the attempt failed:",
         "stream-broken" => "the answer broke off:",
         "cut" => "its connection ended before the answer was complete:",
