--- a/src/pool/retry.rs
+++ b/src/pool/retry.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use super::{
     Fault,
     Output,
@@ -18,6 +20,60 @@
 /// counted apart from [`RequestSpec::attempts`](super::RequestSpec::attempts).
 const MAX_UNREACHED: u32 = 3;
 
+/// Whether a request is retried, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum RetryVerdict {
+    /// It is retried, which was charged to the retry budget.
+    #[display("charged")]
+    Charged,
+    /// It is retried without a charge, as no target has seen the request.
+    #[display("uncharged")]
+    Uncharged,
+    /// The retry budget of the service is spent.
+    #[display("over-budget")]
+    OverBudget,
+    /// The request has had all its attempts.
+    #[display("no-attempts")]
+    NoAttempts,
+    /// All targets of the service have been tried.
+    #[display("no-target")]
+    NoTarget,
+    /// The request may have run and is not idempotent.
+    #[display("may-have-run")]
+    MayHaveRun,
+    /// A part of the prompt is quarantined.
+    #[display("quarantined")]
+    Quarantined,
+    /// The request has ended.
+    #[display("ended")]
+    Ended,
+}
+
+/// The decision about a request whose attempt has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryDecision {
+    /// Whether the request is retried.
+    pub verdict: RetryVerdict,
+    /// The retries that are left in the budget of the service afterwards.
+    pub left: u32,
+}
+
+impl RetryDecision {
+    /// Returns whether the request is retried.
+    ///
+    /// ```
+    /// use redwingyard::pool::{RetryDecision, RetryVerdict};
+    /// let decision = RetryDecision { verdict: RetryVerdict::OverBudget, left: 0 };
+    /// assert!(!decision.is_allowed());
+    /// ```
+    pub fn is_allowed(self) -> bool {
+        matches!(
+            self.verdict,
+            RetryVerdict::Charged | RetryVerdict::Uncharged
+        )
+    }
+}
+
 impl Pool {
     /// Records that an attempt has failed. The request stays registered until [`Pool::requeue`] or
     /// [`Pool::end`] is called.
@@ -55,29 +111,88 @@
         self.take_outputs()
     }
 
-    /// Returns whether a request whose attempt has failed may be retried.
+    /// Decides whether a request whose attempt has failed is retried.
     ///
     /// A retry is spent from the service's retry budget, unless the target could not be reached.
-    pub fn may_retry(&mut self, now: Time, sequence: Sequence, fault: Fault) -> bool {
-        if self.quarantined_part(now, sequence).is_some() {
+    pub fn decide_retry(&mut self, now: Time, sequence: Sequence, fault: Fault) -> RetryDecision {
+        let verdict = match self.retry_obstacle(now, sequence, fault) {
+            Some(obstacle) => obstacle,
+            None if fault == Fault::Unreachable => RetryVerdict::Uncharged,
+            None if self.charge_retry(now, sequence) => RetryVerdict::Charged,
+            None => RetryVerdict::OverBudget,
+        };
+        let left = self.retries_left(now, sequence);
+        RetryDecision { verdict, left }
+    }
+
+    /// Charges a retry to the retry budget, unless it is charged already. Returns whether it may be
+    /// made.
+    fn charge_retry(&mut self, now: Time, sequence: Sequence) -> bool {
+        let reserve = self.retry_reserve(now);
+        let Some(request) = self.requests.get_mut(&sequence) else {
             return false;
+        };
+        let service = request.spec.service;
+        std::mem::take(&mut request.prepaid) || self.service_mut(service).budget.spend(now, reserve)
+    }
+
+    /// Charges a retry to the retry budget before the current attempt is given up for it. Returns
+    /// whether it may be made.
+    pub(super) fn prepay_retry(&mut self, now: Time, sequence: Sequence) -> bool {
+        let charged = self.charge_retry(now, sequence);
+        if let Some(request) = self.requests.get_mut(&sequence) {
+            request.prepaid = charged;
         }
+        charged
+    }
+
+    /// Returns the retries that are left in the budget of a request's service.
+    fn retries_left(&mut self, now: Time, sequence: Sequence) -> u32 {
+        let reserve = self.retry_reserve(now);
         let Some(request) = self.requests.get(&sequence) else {
-            return false;
+            return 0;
+        };
+        let service = request.spec.service;
+        self.service_mut(service).budget.left(now, reserve)
+    }
+
+    /// Returns the retries of each service in a window that need not be earned by requests.
+    ///
+    /// A router that has just started has none: it may not know the whole fleet, and an earlier
+    /// process at the same address may have spent them.
+    fn retry_reserve(&self, now: Time) -> u32 {
+        let limits = &self.settings.retry;
+        match self.joined {
+            Some(joined) if now >= joined + limits.window() => {
+                limits.reserve(self.fleet, self.draw)
+            }
+            _ => 0,
+        }
+    }
+
+    /// Returns what prevents a retry apart from the retry budget, if anything does.
+    fn retry_obstacle(&self, now: Time, sequence: Sequence, fault: Fault) -> Option<RetryVerdict> {
+        let Some(request) = self.requests.get(&sequence) else {
+            return Some(RetryVerdict::Ended);
         };
         let spec = &request.spec;
-        let safe = fault.is_unexecuted() || spec.idempotent;
         let has_attempts = match fault {
             Fault::Unreachable => request.unreached <= MAX_UNREACHED,
             // A refused attempt did not run, so one more than the allowed attempts may be made.
             Fault::Refused | Fault::Moved => request.reached <= spec.attempts,
             Fault::Lost | Fault::Error => request.reached < spec.attempts,
         };
-        let service = spec.service;
-        let others = self.has_untried_target(sequence);
-        safe && has_attempts
-            && others
-            && (fault == Fault::Unreachable || self.service_mut(service).budget.spend())
+        if self.quarantined_part(now, sequence).is_some() {
+            Some(RetryVerdict::Quarantined)
+        } else if !fault.is_unexecuted() && !spec.idempotent {
+            Some(RetryVerdict::MayHaveRun)
+        } else if !has_attempts {
+            Some(RetryVerdict::NoAttempts)
+        } else if !self.has_untried_target(sequence) {
+            Some(RetryVerdict::NoTarget)
+        } else {
+            None
+        }
     }
 
     /// Starts the cooldown that a target has requested, in which no request is sent to it.
@@ -93,11 +208,15 @@
         member.is_some_and(|member| member.health.cooldown_left(now).is_zero())
     }
 
-    /// Returns whether the service has a target at which the request has not failed yet.
-    fn has_untried_target(&self, sequence: Sequence) -> bool {
+    /// Returns whether the service has a target to which the request was not sent yet.
+    pub(super) fn has_untried_target(&self, sequence: Sequence) -> bool {
         let request = &self.requests[&sequence];
+        let current = match request.stage {
+            Stage::InFlight { target, .. } => Some(target),
+            _ => None,
+        };
         let state = self.services.get(&request.spec.service);
-        let untried = |target: &Target| !request.tried.contains(target);
+        let untried = |target: &Target| !request.tried.contains(target) && Some(*target) != current;
         state.is_some_and(|state| state.members.iter().any(untried))
     }
 
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -35,6 +35,7 @@
 
 use super::{
     call::Call,
+    exchange::Stage,
     process::Decision, //
 };
 use crate::{
@@ -51,6 +52,7 @@
     shell::{
         dial::{
             Connections,
+            DialError,
             Sender, //
         },
         ending::{
@@ -105,6 +107,8 @@
     Failed(Fault),
     /// The request's deadline passed.
     Expired,
+    /// The caller has closed its connection.
+    CallerGone,
 }
 
 impl Call {
@@ -113,17 +117,29 @@
         let Some(listing) = self.process.available_target(target) else {
             return AttemptResult::Failed(Fault::Unreachable);
         };
+        let presence = self.request.presence.clone();
+        if presence.is_gone() {
+            return AttemptResult::CallerGone;
+        }
+        let caller_age = self.caller_age();
         log::info!(
-            "event=send request={} sequence={} target={} attempt_ms={}",
+            "event=send request={} sequence={} target={} attempt_ms={} caller_age_ms={}",
             self.request.id,
             self.sequence,
             listing.name,
             self.elapsed().as_millis(),
+            caller_age.as_millis(),
         );
+        self.process.metrics.observe_caller_age(caller_age);
+        self.target = Some(listing.name.clone());
+        if resume.is_none() {
+            self.request.exchange.advance(Stage::Sent);
+        }
         let request = self.target_request(&listing.name, resume);
         let connections = self.process.connections_to(listing.address);
         let opened = {
-            let open = std::pin::pin!(connections.send(request));
+            let is_wanted = move || !presence.is_gone();
+            let open = std::pin::pin!(connections.send(request, is_wanted));
             match unless_abandoned(open, &mut self.decisions).await {
                 Ok(opened) => opened,
                 Err(result) => return result,
@@ -131,6 +147,7 @@
         };
         let (response, sender) = match opened {
             Ok(opened) => opened,
+            Err(DialError::Withdrawn) => return AttemptResult::CallerGone,
             Err(err) => {
                 let fault = match err.is_sent() {
                     true => Fault::Lost,
@@ -151,8 +168,17 @@
         let notice = platform::notice(head.status.as_u16(), &head.headers);
         match platform::classify_response(head.status.as_u16(), &head.headers, &self.request.id) {
             ResponseKind::Answer => self.process.apply_notice(target, notice),
-            // The answer carries another request's id, so it is not known whether this one has run.
-            ResponseKind::Mismatched => return AttemptResult::Failed(Fault::Lost),
+            // It is not known whether the target has run this request.
+            ResponseKind::Mismatched => {
+                log::warn!(
+                    "event=answer-discarded request={} target={} status={} echo={}",
+                    self.request.id,
+                    listing.name,
+                    head.status.as_u16(),
+                    platform::id_echo(&head.headers, &self.request.id),
+                );
+                return AttemptResult::Failed(Fault::Lost);
+            }
             ResponseKind::NotExecuted => {
                 self.process.apply_notice(target, notice);
                 read_refusal(body, sender, connections, head);
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -6,6 +6,7 @@
     Encoder,
     Histogram,
     HistogramOpts,
+    IntCounter,
     IntCounterVec,
     IntGauge,
     Opts,
@@ -23,10 +24,15 @@
     registry: Registry,
     outcomes: IntCounterVec,
     faults: IntCounterVec,
+    pub(super) accepted: IntCounter,
+    cuts: IntCounterVec,
+    retries: IntCounterVec,
     wait: Histogram,
     first_byte: Histogram,
     total: Histogram,
     end_check: Histogram,
+    caller_age: Histogram,
+    hangup: Histogram,
     pub(super) active: IntGauge,
     pub(super) generation: IntGauge,
     pub(super) rules_age: IntGauge,
@@ -57,7 +63,14 @@
             let _ = registry.register(Box::new(gauge.clone()));
             gauge
         };
+        let accepted = IntCounter::new(
+            "redwingyard_connections_accepted_total",
+            "Connections of callers that were accepted.",
+        );
+        let accepted = accepted.expect("the metric name is valid");
+        let _ = registry.register(Box::new(accepted.clone()));
         Self {
+            accepted,
             outcomes: counter(
                 "redwingyard_requests_total",
                 "Requests that have ended, by outcome.",
@@ -68,6 +81,16 @@
                 "Attempts at targets that failed, by fault.",
                 "fault",
             ),
+            cuts: counter(
+                "redwingyard_requests_cut_total",
+                "Requests whose connection ended before their answer was complete, by cause.",
+                "cause",
+            ),
+            retries: counter(
+                "redwingyard_retries_total",
+                "Decisions on a retry after a failed attempt, by verdict.",
+                "verdict",
+            ),
             wait: histogram(
                 "redwingyard_wait_seconds",
                 "Time from arrival until a request was sent to a target.",
@@ -84,6 +107,14 @@
                 "redwingyard_end_check_seconds",
                 "Time to learn the state of the target of an answer that ended with its connection.",
             ),
+            caller_age: histogram(
+                "redwingyard_caller_age_seconds",
+                "Time since the caller was last known to be there when its request was sent.",
+            ),
+            hangup: histogram(
+                "redwingyard_hangup_seconds",
+                "Longest time for which the close of a caller may have lain unread.",
+            ),
             active: gauge("redwingyard_requests", "Requests that have not ended."),
             generation: gauge("redwingyard_generation", "Generation in force."),
             rules_age: gauge(
@@ -122,6 +153,14 @@
         self.faults.with_label_values(&[fault]).inc();
     }
 
+    pub(super) fn count_cut(&self, cause: &str) {
+        self.cuts.with_label_values(&[cause]).inc();
+    }
+
+    pub(super) fn count_retry(&self, verdict: &str) {
+        self.retries.with_label_values(&[verdict]).inc();
+    }
+
     pub(super) fn observe_wait(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
     }
@@ -138,6 +177,14 @@
         self.end_check.observe(time.as_secs_f64());
     }
 
+    pub(super) fn observe_caller_age(&self, time: Duration) {
+        self.caller_age.observe(time.as_secs_f64());
+    }
+
+    pub(super) fn observe_hangup(&self, time: Duration) {
+        self.hangup.observe(time.as_secs_f64());
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(super) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -171,6 +171,10 @@
                 }
                 AttemptResult::Answered(_) | AttemptResult::Failed(_) => {}
                 AttemptResult::Expired => return Err(Truncated),
+                AttemptResult::CallerGone => {
+                    self.call.leave();
+                    return Err(Truncated);
+                }
             }
         }
     }
@@ -188,6 +192,7 @@
             let headers = &self.answer.head.headers;
             self.answer.connections.put_idle(sender, headers);
         }
+        self.call.request.exchange.pass_answer();
         self.call.end("answered", true);
     }
 }
--- a/src/shell/stream.rs
+++ b/src/shell/stream.rs
@@ -4,7 +4,11 @@
 //! has thousands of connections and little memory, so this type uses only hyper's own buffers.
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    fmt,
     io::{
         self,
         IoSlice, //
@@ -76,6 +80,59 @@
     last_empty: Option<LastEmpty>,
     /// The largest number of bytes of one read.
     max_read: usize,
+    /// Called when all bytes that were passed to the connection are written.
+    on_flush: Option<FlushHook>,
+    /// Decides about the next write.
+    gate: WriteGate,
+}
+
+/// A function that is called after each flush.
+struct FlushHook(Box<dyn Fn()>);
+
+impl fmt::Debug for FlushHook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FlushHook")
+    }
+}
+
+/// Decides, at the moment of a write, whether it is still wanted.
+#[derive(Clone, Default)]
+pub(super) struct WriteGate(Rc<GateState>);
+
+#[derive(Default)]
+struct GateState {
+    /// Tells whether the next write is still wanted; taken by that write.
+    condition: RefCell<Option<Box<dyn Fn() -> bool>>>,
+    refused: Cell<bool>,
+}
+
+impl WriteGate {
+    /// Makes the next write fail, with no byte written, unless `is_wanted` holds when it is made.
+    pub(super) fn set(&self, is_wanted: impl Fn() -> bool + 'static) {
+        self.0.condition.replace(Some(Box::new(is_wanted)));
+    }
+
+    /// Returns whether a write was refused.
+    pub(super) fn has_refused(&self) -> bool {
+        self.0.refused.get()
+    }
+
+    fn check(&self) -> io::Result<()> {
+        let condition = self.0.condition.take();
+        if condition.is_none_or(|is_wanted| is_wanted()) {
+            return Ok(());
+        }
+        self.0.refused.set(true);
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
+impl fmt::Debug for WriteGate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WriteGate")
+            .field("refused", &self.0.refused)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Stream {
@@ -86,6 +143,8 @@
             read_streak: 0,
             last_empty: None,
             max_read: usize::MAX,
+            on_flush: None,
+            gate: WriteGate::default(),
         })
     }
 
@@ -95,12 +154,28 @@
         Self { max_read, ..self }
     }
 
+    /// Calls `hook` whenever all bytes that were passed to the connection are written.
+    pub(super) fn on_flush(mut self, hook: impl Fn() + 'static) -> Self {
+        self.on_flush = Some(FlushHook(Box::new(hook)));
+        self
+    }
+
     /// Returns a guard that shuts the connection down at the moment it is dropped, although the
     /// task of the connection may not run for some time.
     pub(super) fn shutdown_guard(&self) -> ShutdownGuard {
         ShutdownGuard(Rc::downgrade(&self.socket))
     }
 
+    /// Returns the gate of this connection's writes.
+    pub(super) fn write_gate(&self) -> WriteGate {
+        self.gate.clone()
+    }
+
+    /// Returns the socket, for as long as the connection is open.
+    pub(super) fn socket(&self) -> Weak<PollFd<Socket>> {
+        Rc::downgrade(&self.socket)
+    }
+
     /// Returns a handle that chooses how the connection ends.
     pub(super) fn reset_handle(&self) -> ResetHandle {
         ResetHandle(Rc::downgrade(&self.socket))
@@ -186,6 +261,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.gate.check()?;
         self.socket.poll_write_with(cx, |socket| socket.send(buf))
     }
 
@@ -194,6 +270,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.gate.check()?;
         self.socket
             .poll_write_with(cx, |socket| socket.send_vectored(bufs))
     }
@@ -203,6 +280,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(FlushHook(hook)) = &self.on_flush {
+            hook();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -27,14 +27,18 @@
     match event {
         "place" => "chose a target:",
         "send" => "sent it:",
+        "caller-gone" => "noticed that its caller had left:",
         "first" => "the target's answer began:",
         "refuse" => "refused it:",
         "unanswered" => "its connection broke before its answer had begun; its prompt's parts:",
         "abandon" => "gave up an attempt that got no answer",
+        "keep" => "went on with an attempt that got no answer, as the retry budget was spent:",
         "expire" => "its time was over",
         "attempt-error" => "the attempt broke:",
+        "answer-discarded" => "discarded an answer that may belong to another request:",
         "attempt-failed" => "the attempt failed:",
         "stream-broken" => "the answer broke off:",
+        "cut" => "its connection ended before the answer was complete:",
         "unframed-end" => {
             "the answer, with neither a length nor chunks, ended with its connection:"
         }
