--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -11,6 +11,7 @@
         BinaryHeap, //
     },
     net::IpAddr,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -97,7 +98,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Caller {
     account: Account,
-    /// The requests in a second for each engine.
+    /// The requests in a second: for each engine at first, then for all engines.
     rate: f64,
     /// The number of routers.
     reach: usize,
@@ -109,7 +110,7 @@
 struct Fleet {
     routers: usize,
     engines: u32,
-    /// The routers that the callers of the small account and of the many others reach.
+    /// The number of routers that the callers of the first account reach.
     reach: usize,
     /// The time from the first event of a stream to its last, in milliseconds.
     stream: u64,
@@ -139,7 +140,7 @@
 enum Event {
     Tick(usize),
     Round(usize),
-    Deliver(usize, usize, std::rc::Rc<Report>),
+    Deliver(usize, usize, Rc<Report>),
     /// The next request of a caller.
     Arrive(usize),
     /// A caller that was refused comes back.
@@ -403,7 +404,7 @@
             };
             let bytes = beacon.encode().expect("a beacon can be encoded").len();
             cost.add(bytes, recipients.len());
-            let report = std::rc::Rc::new(report);
+            let report = Rc::new(report);
             for ip in recipients {
                 let to = self.index[&ip];
                 self.schedule(
