Show changes of the configuration that are lost after a failed read

Callers saw a request run whose key had been revoked 3.25 s before, and 404 for a route that had been added.

The stand-in of the store now fails or delays calls to a path and returns to an older copy under a new era.

--- a/examples/standin/store.rs
+++ b/examples/standin/store.rs
@@ -27,8 +27,10 @@
 use compio::time::sleep;
 use hyper::{
     Response,
-    StatusCode, //
+    StatusCode,
+    header::HeaderValue, //
 };
+use percent_encoding::percent_decode_str;
 use serde_json::{
     Value,
     json, //
@@ -46,8 +48,32 @@
 /// The interval at which a watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The header field with the number of times that the store has come back from an older copy.
+const ERA_FIELD: &str = "store-era";
+
+/// The items at some time, to which the store can return.
+#[derive(Clone, Debug, Default)]
+pub struct Copy {
+    items: BTreeMap<String, (u64, String)>,
+    revision: u64,
+}
+
+/// How calls to a path fail.
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    status: StatusCode,
+    /// How many more calls fail.
+    left: u32,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// The number of times that the store has come back from an older copy.
+    era: u64,
+    /// The paths whose calls fail.
+    faults: BTreeMap<String, Fault>,
+    /// How long calls to a path take.
+    delays: BTreeMap<String, Duration>,
     /// Each item by its key, with the revision of its last change.
     items: BTreeMap<String, (u64, String)>,
     /// Each change since the last compaction: its revision, the key, and the new value, or `None` if
@@ -93,6 +119,59 @@
         self.state().apply(key, Some(value.to_string()));
     }
 
+    /// Writes an item whose value need not be JSON.
+    pub fn put_text(&self, key: &str, text: &str) {
+        self.state().apply(key, Some(text.to_owned()));
+    }
+
+    /// Makes the next calls to a path fail with a status.
+    pub fn fail_next(&self, path: &str, status: u16, count: u32) {
+        let status = StatusCode::from_u16(status).expect("the status is valid");
+        let fault = Fault {
+            status,
+            left: count,
+        };
+        self.state().faults.insert(path.to_owned(), fault);
+    }
+
+    /// Takes a failure of a call to a path, if it is to fail.
+    fn take_fault(&self, path: &str) -> Option<StatusCode> {
+        let mut state = self.state();
+        let fault = state.faults.get_mut(path)?;
+        fault.left = fault.left.checked_sub(1)?;
+        Some(fault.status)
+    }
+
+    /// Makes each call to a path take some time.
+    pub fn set_delay(&self, path: &str, delay: Duration) {
+        self.state().delays.insert(path.to_owned(), delay);
+    }
+
+    fn delay(&self, path: &str) -> Duration {
+        let state = self.state();
+        state.delays.get(path).copied().unwrap_or_default()
+    }
+
+    /// Copies all items.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Returns to a copy, as after a loss of the store: the changes since then are gone, and their
+    /// revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.compacted = copy.revision;
+        state.items = copy.items;
+        state.history.clear();
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.state().apply(key, None);
@@ -115,11 +194,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
-    /// Returns the changes after a revision to the items with a prefix, or `None` if compaction has
-    /// removed changes after that revision.
+    /// Returns the changes after a revision to the items with a prefix, or `None` if the store doesn't
+    /// have that revision or compaction has removed changes after it.
     fn changes_since(&self, prefix: &str, after: u64) -> Option<Value> {
         let state = self.state();
-        if after < state.compacted {
+        if after < state.compacted || after > state.revision {
             return None;
         }
         let newer = state.history.iter().filter(|(revision, key, _)| {
@@ -200,21 +279,25 @@
     let parameter = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let found = pairs.find(|(key, _)| *key == name);
-        found.map_or("", |(_, value)| value)
+        let value = found.map_or("", |(_, value)| value);
+        percent_decode_str(value).decode_utf8_lossy().into_owned()
     };
-    let found = match path {
-        _ if items.down.load(Ordering::Relaxed) => Err(StatusCode::SERVICE_UNAVAILABLE),
-        "/kv-key" => items.by_key(parameter("key")).ok_or(StatusCode::NOT_FOUND),
-        "/kv-range" => Ok(items.by_prefix(parameter("prefix"), parameter("after"))),
-        "/kv-watch" => {
+    sleep(items.delay(path)).await;
+    let down = items.down.load(Ordering::Relaxed);
+    let down = down.then_some(StatusCode::SERVICE_UNAVAILABLE);
+    let found = match (down.or_else(|| items.take_fault(path)), path) {
+        (Some(status), _) => Err(status),
+        (None, "/kv-key") => items.by_key(&parameter("key")).ok_or(StatusCode::NOT_FOUND),
+        (None, "/kv-range") => Ok(items.by_prefix(&parameter("prefix"), &parameter("after"))),
+        (None, "/kv-watch") => {
             let number = |name| parameter(name).parse().unwrap_or(0);
             let wait = Duration::from_millis(number("waitMs"));
             let changes = items
-                .watch(parameter("prefix"), number("after"), wait)
+                .watch(&parameter("prefix"), number("after"), wait)
                 .await;
             changes.ok_or(StatusCode::GONE)
         }
-        _ => Err(StatusCode::NOT_FOUND),
+        (None, _) => Err(StatusCode::NOT_FOUND),
     };
     let (status, text) = match found {
         Ok(document) => (StatusCode::OK, document.to_string()),
@@ -222,5 +305,7 @@
     };
     let mut response = Response::new(full(text));
     *response.status_mut() = status;
+    let era = HeaderValue::from(items.state().era);
+    response.headers_mut().insert(ERA_FIELD, era);
     response
 }
