--- a/src/shell/gateway/store_state.rs
+++ b/src/shell/gateway/store_state.rs
@@ -49,6 +49,10 @@
     /// Publishes an update that was read from the store; it was the newest one at time `at`.
     pub(super) fn publish(&self, now: Time, update: Update, at: Time, restored: bool) {
         let revision = update.revision;
+        let generation = update.rules.as_ref().map(Rules::generation);
+        if let Some(generation) = generation {
+            log::info!("event=config-read revision={revision} generation={generation}");
+        }
         if update.rules.is_some() || update.targets.is_some() {
             let mut pending = lock(&self.pending);
             pending.rules = update.rules.or(pending.rules.take());
