Follow the targets beside an odd entry of another writer

Other operators saw processes end, or stop following the list, after another writer had left one odd entry. Two did: a key with & or # at the end of a page was put into the URL as it is, so no whole read ever ended, and the gateway followed neither targets nor, if it had just started, rules. And an entry under a target's own name with the greatest start made every later one count as a delayed heartbeat: the target was never used again.

Keys are percent-encoded in the query, and a page that does not follow the one before it is an error. An entry names no target if its port or address can't be connected to, it has no slots, its start lies beyond the year 9999, its names are longer than a key, or its own name fits in no header field: without that field, any server at the address would run the request. An odd entry that is removed is forgotten. One line tells the number of odd entries when it changes.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -28,6 +28,7 @@
 };
 pub use store::{
     ConfigItem,
+    Registry,
     Step,
     Store,
     StoreError, //
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,6 +17,11 @@
     Error,
     From, //
 };
+use percent_encoding::{
+    AsciiSet,
+    NON_ALPHANUMERIC,
+    utf8_percent_encode, //
+};
 use serde::Deserialize;
 
 use super::{
@@ -43,6 +48,13 @@
 /// configuration must be in force.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The characters of a key that stand for themselves in a URL's query.
+const KEY_CHARACTERS: AsciiSet = NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_');
+
 /// The HTTP status of a watch whose starting revision is older than the changes that the store
 /// keeps.
 const HISTORY_LOST: u16 = 410;
@@ -66,6 +78,10 @@
     /// The answer is not JSON of the expected structure.
     #[display("the store's answer can't be read: {_0}")]
     Json(serde_json::Error),
+    /// A page does not follow the one before it.
+    #[display("the page after the key {_0:?} ends before it")]
+    #[from(skip)]
+    Page(#[error(not(source))] String),
     /// The configuration's value is not base64 text.
     #[display("the configuration is not base64: {_0}")]
     Base64(base64::DecodeError),
@@ -141,6 +157,15 @@
     }
 }
 
+/// The registered targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Registry {
+    /// The targets.
+    pub targets: Vec<Listing>,
+    /// The number of entries that name no target, such as those that another writer has left.
+    pub odd: usize,
+}
+
 /// What one call to the store has returned.
 #[derive(Debug)]
 pub enum Step {
@@ -154,7 +179,7 @@
         /// The store's revision when this read began.
         revision: Revision,
         /// All registered targets.
-        targets: Vec<Listing>,
+        targets: Registry,
     },
     /// The changes since the last step.
     Changed {
@@ -163,14 +188,13 @@
         /// The configurations that were written, oldest first.
         configs: Vec<ConfigItem>,
         /// All registered targets, if any of them has changed.
-        targets: Option<Vec<Listing>>,
+        targets: Option<Registry>,
     },
     /// The store no longer keeps the changes since the last step, so everything must be read again.
     HistoryLost,
 }
 
-/// The entry of each server by its key: its revision, and its listing unless the entry was deleted
-/// or is not valid.
+/// The entry of each server by its key: its revision, and its listing unless the entry is odd.
 type Servers = BTreeMap<String, (Revision, Option<Listing>)>;
 
 /// A read of the whole store that has begun.
@@ -269,11 +293,12 @@
         let Progress::Reading(reading) = &self.progress else {
             return Ok(Step::HistoryLost);
         };
-        let mut path = format!("kv-range?prefix={SERVER_PREFIX}");
-        if !reading.after.is_empty() {
-            path.push_str("&after=");
-            path.push_str(&reading.after);
-        }
+        let after = reading.after.clone();
+        let key = utf8_percent_encode(&after, &KEY_CHARACTERS);
+        let path = match after.is_empty() {
+            true => format!("kv-range?prefix={SERVER_PREFIX}"),
+            false => format!("kv-range?prefix={SERVER_PREFIX}&after={key}"),
+        };
         let body = self.get(&path, Duration::ZERO).await?;
         let page: Page = serde_json::from_slice(&body)?;
         let Progress::Reading(reading) = &mut self.progress else {
@@ -288,6 +313,9 @@
             );
         }
         if let Some(last) = page.items.last().filter(|_| page.more_pages) {
+            if last.key <= after {
+                return Err(StoreError::Page(after));
+            }
             reading.after = last.key.clone();
             return Ok(Step::Page);
         }
@@ -298,7 +326,7 @@
         self.progress = Progress::Synced(revision);
         Ok(Step::Listed {
             revision,
-            targets: self.targets(),
+            targets: self.registry(),
         })
     }
 
@@ -332,7 +360,7 @@
         Ok(Step::Changed {
             revision,
             configs,
-            targets: changed.then(|| self.targets()),
+            targets: changed.then(|| self.registry()),
         })
     }
 
@@ -368,11 +396,13 @@
         Ok((config, read.store_revision))
     }
 
-    fn targets(&self) -> Vec<Listing> {
-        let listings = self.servers.values();
-        listings
-            .filter_map(|(_, listing)| listing.clone())
-            .collect()
+    fn registry(&self) -> Registry {
+        let listings = self.servers.values().map(|(_, listing)| listing);
+        let targets: Vec<_> = listings.flatten().cloned().collect();
+        Registry {
+            odd: self.servers.len() - targets.len(),
+            targets,
+        }
     }
 
     async fn get(&mut self, path: &str, wait: Duration) -> Result<Vec<u8>, StoreError> {
@@ -398,19 +428,20 @@
     }
 }
 
-/// Applies a server's entry, or its deletion if `value` is `None`, and returns whether the server's
-/// listing has changed. A value that is not a valid entry, such as one that another writer has left,
-/// counts as no listing.
+/// Applies a server's entry, or its deletion if `value` is `None`, and returns whether the registry
+/// has changed.
 fn apply_server(servers: &mut Servers, key: &str, revision: Revision, value: Option<&str>) -> bool {
     let known = servers.get(key);
     if known.is_some_and(|(known, _)| *known >= revision) {
         return false;
     }
+    let Some(value) = value else {
+        return servers.remove(key).is_some();
+    };
     let name = key.strip_prefix(SERVER_PREFIX).unwrap_or(key);
-    let value = value.and_then(|value| STANDARD.decode(value).ok());
+    let value = STANDARD.decode(value).ok();
     let listing = value.and_then(|value| parse_listing(name, &value));
-    let previous = known.and_then(|(_, listing)| listing.as_ref());
-    let changed = previous != listing.as_ref();
+    let changed = known.is_none_or(|(_, previous)| *previous != listing);
     servers.insert(key.to_owned(), (revision, listing));
     changed
 }
--- a/src/platform/targets.rs
+++ b/src/platform/targets.rs
@@ -1,11 +1,21 @@
 //! Parses the entries of servers that register themselves in the store as targets.
 
-use std::net::SocketAddr;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 
 use serde::Deserialize;
 
 use crate::feed::Listing;
 
+/// The largest number of bytes in the name of a service or a failure domain, as in a key of the
+/// store.
+const MAX_NAME: usize = 200;
+
+/// The latest start of a target: the end of the year 9999, in milliseconds since the Unix epoch.
+const MAX_BORN: u64 = 253_402_300_799_999;
+
 /// A server's entry. Its field `sequence` is not read: it counts orders and says nothing about the
 /// entry's age.
 #[derive(Deserialize)]
@@ -26,8 +36,29 @@
     Draining,
 }
 
+impl Server {
+    /// Returns whether requests can be sent to the server.
+    fn is_usable(&self) -> bool {
+        let ip = self.address.ip();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        let is_host = !is_broadcast && !ip.is_unspecified() && !ip.is_multicast();
+        is_host
+            && self.address.port() != 0
+            && self.slots > 0
+            && self.born <= MAX_BORN
+            && self.service.len() <= MAX_NAME
+            && self.zone.len() <= MAX_NAME
+    }
+}
+
+/// Returns whether a server's name can be sent in a header field, with which a request names the
+/// server that may run it.
+fn is_name(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// Parses a server's entry, or returns `None` for a value that is not one, such as a value that
-/// another writer has left under the key.
+/// another writer has left under the key, and for one that names no server that can be used.
 ///
 /// ```
 /// let entry = br#"{"service":"api","address":"10.0.0.9:80","zone":"a","slots":6,
@@ -37,7 +68,7 @@
 /// ```
 pub fn parse_listing(name: &str, value: &[u8]) -> Option<Listing> {
     let server: Server = serde_json::from_slice(value).ok()?;
-    Some(Listing {
+    (is_name(name) && server.is_usable()).then(|| Listing {
         name: name.to_owned(),
         service: server.service,
         address: server.address,
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -30,6 +30,7 @@
     },
     platform::{
         ConfigItem,
+        Registry,
         Step,
         Store,
         StoreError, //
@@ -93,6 +94,8 @@
     last_success: Cell<Time>,
     /// When the read that is under way was begun.
     read_begun: Cell<Time>,
+    /// The number of entries in the last list of targets that name no target.
+    odd: Cell<usize>,
 }
 
 /// Reads the store on a thread of its own until the returned sender is dropped.
@@ -110,6 +113,7 @@
         cancel_cause: Cell::new(None),
         last_success: Cell::new(Duration::ZERO),
         read_begun: Cell::new(Duration::ZERO),
+        odd: Cell::new(0),
     };
     let run = move || {
         let runtime = match Runtime::new() {
@@ -164,7 +168,7 @@
             Step::Page => {}
             Step::Listed { revision, targets } => {
                 let restored = self.regain(revision);
-                self.state.publish_targets(targets, restored);
+                self.publish_targets(targets, restored);
                 self.advance(revision);
                 sleep(BATCH_PAUSE).await;
             }
@@ -179,7 +183,7 @@
                 }
                 let restored = self.regain(revision);
                 if let Some(targets) = targets {
-                    self.state.publish_targets(targets, restored);
+                    self.publish_targets(targets, restored);
                 }
                 self.advance(revision);
                 if changed {
@@ -197,6 +201,15 @@
         }
     }
 
+    /// Publishes the registered targets, and logs when the number of odd entries changes.
+    fn publish_targets(&self, registry: Registry, restored: bool) {
+        if self.odd.replace(registry.odd) != registry.odd {
+            let (targets, odd) = (registry.targets.len(), registry.odd);
+            log::warn!("event=odd-entries odd={odd} targets={targets}");
+        }
+        self.state.publish_targets(registry.targets, restored);
+    }
+
     /// Records that the changes up to a revision were published.
     fn advance(&self, revision: Revision) {
         let begun = self.read_begun.get();
