Refuse what can't end before a stop does, and answer the rest before the exit

Other operators saw requests that came late in the grace of a planned stop passed on and cut off with no answer. Here, connections that have not sent a whole request are not closed when accepting ends: a head or a body that is completed late in the grace was passed on, and after 7.7 of 8 s got 504, for which 100 ms were left. A request that was read after that was still sent.

In a stop, a request whose route usually takes longer than what is left (mean plus four mean deviations, as TCP estimates round trips; the route's timeout or objective before any has ended) is refused at once as not run. Its deadline is no later than the end of the stop. At that end, bodies that are still being read and requests that wait for a target are refused, only those at a target get 504, nothing more is sent, and the process exits when the answers are written, at most 250 ms later.

--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -35,6 +35,7 @@
 mod refuse;
 mod request;
 mod retry;
+mod run_times;
 mod suspect;
 mod throttle;
 mod timer;
@@ -80,6 +81,7 @@
     RetryDecision,
     RetryVerdict, //
 };
+pub use run_times::RunTimes;
 use throttle::Fairness;
 pub use usage::{
     RecentService,
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -118,6 +118,9 @@
     /// A part of its prompt is quarantined, as targets crash when they answer it.
     #[display("quarantined")]
     Quarantined(Part),
+    /// This process stops before the answer could end.
+    #[display("stopping")]
+    Stopping,
     /// An attempt has failed, and no further one was allowed or found a target in time.
     #[display("attempts")]
     Attempts,
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -32,6 +32,7 @@
     refusal::{
         FAULT_RETRY,
         QUARANTINED,
+        STOP_RETRY,
         refusal, //
     },
     relay::relay, //
@@ -152,6 +153,10 @@
         self.process.end(self.sequence, answered);
         self.process.metrics.count_outcome(outcome);
         self.process.metrics.observe_total(self.elapsed());
+        if answered {
+            self.process
+                .observe_run(&self.request.route, self.elapsed());
+        }
         let account = self.request.account.as_deref().unwrap_or("-");
         log::info!(
             "event=end request={} sequence={} account={account} route={} generation={} \
@@ -179,8 +184,14 @@
     pub(super) async fn run(mut self) -> Result<Response<Body>, CallerGone> {
         loop {
             let target = match self.next_decision().await {
+                Decision::Send(_) if self.process.is_closing() => {
+                    return Ok(self.refuse(Refusal::Stopping, STOP_RETRY));
+                }
                 Decision::Send(target) => target,
                 Decision::Refuse(cause, retry) => return Ok(self.refuse(cause, retry)),
+                Decision::Expire if self.process.is_closing() => {
+                    return Ok(self.refuse(Refusal::Stopping, STOP_RETRY));
+                }
                 Decision::Expire => return Ok(self.expire()),
                 // The decision was about an attempt that has ended already.
                 Decision::Abandon => continue,
--- a/src/shell/gateway/exchange.rs
+++ b/src/shell/gateway/exchange.rs
@@ -64,6 +64,11 @@
         self.0.borrow_mut().take_if(|unanswered| unanswered.passed);
     }
 
+    /// Returns whether a request has no complete answer.
+    pub(super) fn is_unanswered(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
     /// Takes the request that has no complete answer, if there is one.
     pub(super) fn take(&self) -> Option<Unanswered> {
         self.0.borrow_mut().take()
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -2,12 +2,17 @@
 //! queues it in the pool.
 
 use std::{
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
 use bytes::Bytes;
+use futures_util::future::{
+    Either,
+    select, //
+};
 use hyper::{
     Request,
     Response,
@@ -29,6 +34,7 @@
     process::Process,
     refusal::{
         FAULT_RETRY,
+        STOP_RETRY,
         refusal, //
     }, //
 };
@@ -128,12 +134,21 @@
         return Err(reject(StatusCode::NOT_FOUND, "no-route", detail));
     };
     let account = authenticate(process, &rules, route, &envelope)?;
+    if !process.can_finish(route) {
+        return Err(refuse_stopping(process, &envelope));
+    }
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
+    let deadline = process.stop_end().map_or(deadline, |end| deadline.min(end));
     let max_bytes = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY as u64);
     let left = deadline.saturating_sub(process.clock.now());
     let limit = left.max(MIN_BODY_TIME);
     let body = read_body(process, &envelope, body, max_bytes, limit).await?;
+    // A stop may have begun while the body arrived.
+    if !process.can_finish(route) {
+        return Err(refuse_stopping(process, &envelope));
+    }
+    let deadline = process.stop_end().map_or(deadline, |end| deadline.min(end));
     let spec = RequestSpec {
         account: account.as_deref().map_or(0, crate::ids::id),
         service: route.service(fastrand::u64(..)),
@@ -229,7 +244,25 @@
         phrase: "the rules allow",
     };
     let refuse_without_memory = || refuse_without_memory(process, envelope);
-    receive_body(&process.memory, body, bound, limit, refuse_without_memory).await
+    let received = receive_body(&process.memory, body, bound, limit, refuse_without_memory);
+    match select(pin!(received), process.closed()).await {
+        Either::Left((received, _)) => received,
+        Either::Right(_) => Err(refuse_stopping(process, envelope)),
+    }
+}
+
+/// Refuses a request that can't end before this process does.
+#[cold]
+fn refuse_stopping(process: &Process, envelope: &Envelope) -> Rejection {
+    let left = process.stop_end().unwrap_or_default();
+    let left = left.saturating_sub(process.clock.now());
+    log::info!(
+        "event=reject request={} cause=stopping left_ms={}",
+        envelope.id,
+        left.as_millis()
+    );
+    process.metrics.count_outcome("stopping");
+    Box::new(refusal(Refusal::Stopping, STOP_RETRY))
 }
 
 /// Refuses a request because there is no memory for its body.
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -12,10 +12,17 @@
     time::Duration, //
 };
 
-use futures_channel::mpsc::{
-    UnboundedReceiver,
-    UnboundedSender,
-    unbounded, //
+use futures_channel::{
+    mpsc::{
+        UnboundedReceiver,
+        UnboundedSender,
+        unbounded, //
+    },
+    oneshot, //
+};
+use futures_util::{
+    FutureExt,
+    future::Shared, //
 };
 
 use super::{
@@ -33,7 +40,8 @@
         Revision,
         Sequence,
         Target,
-        Time, //
+        Time,
+        id, //
     },
     pool::{
         Fault,
@@ -44,11 +52,13 @@
         RequestSpec,
         RetryDecision,
         RetryVerdict,
+        RunTimes,
         Settings,
         part_id, //
     },
     rules::{
         Limit,
+        Route,
         Rules, //
     },
     settings::{
@@ -119,8 +129,16 @@
     connections: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// The state shared with the thread that reads the store.
     pub(super) store: Arc<StoreState>,
-    /// When a graceful stop began.
-    stopping: Cell<Option<Time>>,
+    /// The end of a graceful stop that has begun.
+    stop_end: Cell<Option<Time>>,
+    /// How long requests take.
+    run_times: RefCell<RunTimes>,
+    /// Whether every request that has not ended is ended now.
+    closing: Cell<bool>,
+    /// Dropped when that begins.
+    open: RefCell<Option<oneshot::Sender<()>>>,
+    /// Ends when that begins.
+    closed: Shared<oneshot::Receiver<()>>,
     /// Whether accepting is paused because there is no room for another connection.
     pub(super) at_capacity: Cell<bool>,
     last_tick: Cell<Time>,
@@ -150,6 +168,7 @@
                 .map(|rule| (part_id(&rule.part), rule.refuse))
                 .collect(),
         };
+        let (open, closed) = oneshot::channel();
         Self {
             peers: Peers::new(&settings),
             clock: Clock::default(),
@@ -162,7 +181,11 @@
             decisions: RefCell::default(),
             connections: RefCell::default(),
             store: Arc::default(),
-            stopping: Cell::new(None),
+            stop_end: Cell::new(None),
+            run_times: RefCell::default(),
+            closing: Cell::new(false),
+            open: RefCell::new(Some(open)),
+            closed: closed.shared(),
             at_capacity: Cell::new(false),
             last_tick: Cell::new(Duration::ZERO),
             tick_due: Cell::new(Duration::ZERO),
@@ -257,13 +280,60 @@
         informed && accepting && !self.overload.borrow().is_overloaded()
     }
 
-    /// Begins a graceful stop; requests are still served.
-    pub(super) fn stop(&self) {
-        self.stopping.set(Some(self.clock.now()));
+    /// Begins a graceful stop that ends at a time. Until then, requests that are expected to end in
+    /// time are served.
+    pub(super) fn stop(&self, end: Time) {
+        self.stop_end.set(Some(end));
     }
 
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.stop_end.get().is_some()
+    }
+
+    /// Returns the end of a graceful stop that has begun.
+    pub(super) fn stop_end(&self) -> Option<Time> {
+        self.stop_end.get()
+    }
+
+    /// Returns whether a request of a route that is sent now is expected to end before this process
+    /// does.
+    pub(super) fn can_finish(&self, route: &Route) -> bool {
+        if self.closing.get() {
+            return false;
+        }
+        let Some(end) = self.stop_end.get() else {
+            return true;
+        };
+        let unknown = match route.stream {
+            true => route.timeout(),
+            false => route.objective(),
+        };
+        let expected = self.run_times.borrow().expected(id(&route.name));
+        self.clock.now() + expected.unwrap_or(unknown) < end
+    }
+
+    /// Records how long a request of a route took from its arrival to the end of its answer.
+    pub(super) fn observe_run(&self, route: &str, time: Duration) {
+        self.run_times.borrow_mut().observe(id(route), time);
+    }
+
+    /// Ends every request that has not ended: one that is not at a target is refused.
+    pub(super) fn close(&self) {
+        self.closing.set(true);
+        self.open.borrow_mut().take();
+        for sender in self.decisions.borrow().values() {
+            // Fails only if the request's task has ended.
+            let _ = sender.unbounded_send(Decision::Expire);
+        }
+    }
+
+    pub(super) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Waits until every request that has not ended is to be ended.
+    pub(super) fn closed(&self) -> impl Future<Output = ()> + use<> {
+        self.closed.clone().map(|_| ())
     }
 
     /// Asks the pool whether to refuse a request without queueing it; returns the cause and the
@@ -456,13 +526,6 @@
         self.metrics.quarantined.set(quarantined as i64);
     }
 
-    /// Ends all outstanding requests as expired.
-    pub(super) fn expire_all(&self) {
-        for sender in self.decisions.borrow().values() {
-            let _ = sender.unbounded_send(Decision::Expire);
-        }
-    }
-
     /// Returns the earliest time at which input that is read now can have arrived, given that its
     /// queue was last found empty at `emptied`. For a process that is not late, this is the current
     /// time, because it reads input as it arrives.
--- a/src/shell/gateway/refusal.rs
+++ b/src/shell/gateway/refusal.rs
@@ -23,6 +23,9 @@
 /// was no memory.
 pub(super) const FAULT_RETRY: Duration = Duration::from_millis(500);
 
+/// The retry time of a gateway that stops: others can serve the request at once.
+pub(super) const STOP_RETRY: Duration = Duration::from_millis(50);
+
 /// What callers are told about a request with a quarantined part of its prompt.
 pub(super) const QUARANTINED: &str =
     "a part of the prompt crashes the targets that answer it; a retry would be refused as well";
@@ -35,6 +38,7 @@
         Refusal::NoTarget => "no target of the service is known",
         Refusal::CoolingDown => "every target has asked for a pause",
         Refusal::Quarantined(_) => QUARANTINED,
+        Refusal::Stopping => "this gateway stops before the request could end",
         Refusal::Late => "the request was read too late",
         Refusal::Attempts => "no target took the request",
     };
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -92,8 +92,11 @@
 /// The part of the stop timeout that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
-/// The part of [`STOP_MARGIN`] in which requests that have not ended are answered as expired.
-const EXPIRY_GRACE: Duration = Duration::from_millis(100);
+/// The part of [`STOP_MARGIN`] in which the answers to requests that have not ended are written.
+const CLOSE_GRACE: Duration = Duration::from_millis(250);
+
+/// The interval at which a process that closes checks whether its answers are written.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The largest request head where no rule sets a limit, in bytes.
 const DEFAULT_MAX_HEAD: usize = 64 << 10;
@@ -155,6 +158,13 @@
         exchange
     }
 
+    /// Returns whether a request has no complete answer.
+    fn has_unanswered(&self) -> bool {
+        let exchanges = self.exchanges.borrow();
+        let mut open = exchanges.iter().filter_map(Weak::upgrade);
+        open.any(|exchange| exchange.is_unanswered())
+    }
+
     /// Takes the requests that have no complete answer.
     fn take_unanswered(&self) -> Vec<Unanswered> {
         let exchanges = self.exchanges.borrow();
@@ -244,8 +254,9 @@
     ///
     /// At first the gateway reports that it is not ready, so that the platform sends callers
     /// elsewhere; it still accepts connections, and each answer closes its connection. Then no
-    /// connection is accepted and idle ones are closed. Requests that have not ended when the stop
-    /// timeout is nearly over are answered as expired.
+    /// connection is accepted and idle ones are closed. A request that is not expected to end before
+    /// the stop timeout is nearly over is refused. One that has not ended then is answered as expired,
+    /// or as refused if it is not at a target, and the process ends when the answers are written.
     pub async fn drain(self) -> bool {
         let begun = self.process.clock.now();
         let limit = self
@@ -253,7 +264,7 @@
             .settings
             .stop_timeout()
             .saturating_sub(STOP_MARGIN);
-        self.process.stop();
+        self.process.stop(begun + limit);
         let requests = self.process.pool.borrow().active();
         log::info!(
             "event=stopping requests={requests} connections={}",
@@ -273,8 +284,12 @@
         }
         let left = self.callers.memory.connections();
         if left > 0 {
-            self.process.expire_all();
-            sleep(EXPIRY_GRACE).await;
+            self.process.close();
+            // The requests' tasks run before their answers can be written.
+            sleep(CLOSE_INTERVAL).await;
+            while self.callers.has_unanswered() && elapsed() < limit + CLOSE_GRACE {
+                sleep(CLOSE_INTERVAL).await;
+            }
         }
         for unanswered in self.callers.take_unanswered() {
             log_cut(&self.process, &unanswered, "stop-timeout");
