Answer the requests that a router's drain can't wait for

Now those that wait are refused as not run, those at a target end with 504, and an answer that has begun is broken off, before the process exits.

tests/sockets.rs a_request_that_a_stop_can_not_wait_for_is_refused: no answer before, 503 now. A sidecar has no callers of its own; its router resumes or refuses what it leaves (no change).

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -123,6 +123,8 @@
     Rules(Rc<Rules>),
     /// The router starts to drain: it refuses new requests and finishes the others.
     Drain,
+    /// The router ends: every request that has not ended is refused or broken off.
+    Close,
     /// The timer has fired; due timers and intervals are handled.
     Tick,
 }
@@ -294,6 +296,7 @@
             Input::PeerMessage { router, message } => self.peer_message(now, router, message),
             Input::Rules(rules) => self.rules = rules,
             Input::Drain => self.draining = true,
+            Input::Close => self.close(now),
             Input::Tick => self.tick(now),
         }
         if self.draining && self.requests.is_empty() {
--- a/src/router/outcome.rs
+++ b/src/router/outcome.rs
@@ -262,6 +262,32 @@
         }
     }
 
+    /// Ends every request: one that is not at a target is refused as not run.
+    pub(super) fn close(&mut self, now: Time) {
+        self.draining = true;
+        let sequences: Vec<_> = self.requests.keys().copied().collect();
+        for sequence in sequences {
+            let Some(request) = self.requests.get(&sequence) else {
+                continue;
+            };
+            match &request.stage {
+                Stage::Queued => {
+                    let queue_id = (request.spec.service, request.spec.account);
+                    self.queues.remove(queue_id, sequence);
+                    self.refuse(sequence, Cause::Draining, Ran::No);
+                    self.announce(now, queue_id);
+                }
+                Stage::Delayed => self.refuse(sequence, Cause::Draining, Ran::No),
+                Stage::Dispatched(dispatched) => {
+                    let id = self.attempt_id(sequence, request);
+                    let message = Message::Cancel { id };
+                    self.outputs.push(Output::Send(dispatched.target, message));
+                    self.give_up(sequence, Cause::Timeout);
+                }
+            }
+        }
+    }
+
     pub(super) fn timer_due(&mut self, now: Time, sequence: Sequence) {
         let Some(request) = self.requests.get(&sequence) else {
             return;
--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -358,7 +358,8 @@
     }
 
     /// Refuses new requests and waits until all others have ended, or until the time `drain_ms` of
-    /// the settings has passed. Returns whether all requests have ended.
+    /// the settings has passed; those that have not ended then are refused or broken off. Returns
+    /// whether all requests have ended by themselves.
     pub async fn drain(&self) -> bool {
         self.process.stopping.set(true);
         log::info!("event=drain role=router");
@@ -367,6 +368,9 @@
         self.process.step(Input::Drain);
         let limit = Duration::from_millis(self.process.settings.drain_ms);
         let drained = compio::time::timeout(limit, receiver).await.is_ok();
+        if !drained {
+            self.process.step(Input::Close);
+        }
         // Gives the last answers and acknowledgements time to be sent.
         sleep(DIAL_PAUSE).await;
         log::info!("event=stop role=router drained={drained}");
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -421,3 +421,33 @@
     assert_eq!((refusal.cause, refusal.ran), (Cause::Overload, Ran::No));
     assert!(refusal.retry.is_some_and(|retry| retry > secs(30)));
 }
+
+/// How far a request has come when its router ends, and what its caller gets.
+struct Ended {
+    dispatched: bool,
+    begun: bool,
+    refusal: Option<(Cause, Ran)>,
+}
+
+#[rstest]
+#[case::queued(Ended { dispatched: false, begun: false, refusal: Some((Cause::Draining, Ran::No)) })]
+#[case::dispatched(Ended { dispatched: true, begun: false, refusal: Some((Cause::Timeout, Ran::Unknown)) })]
+#[case::begun(Ended { dispatched: true, begun: true, refusal: None })]
+fn a_router_that_ends_leaves_no_request_without_an_answer(#[case] case: Ended) {
+    let (mut router, mut sequence, id) = dispatched_request(true);
+    if case.begun {
+        receive(&mut router, secs(1), 7, chunk(id, 0, "a", None));
+    }
+    if !case.dispatched {
+        sequence = router.arrive(secs(1), spec(1, true)).0;
+    }
+    let outputs = router.step(secs(2), Input::Close);
+    let actual = match &replies(&outputs, sequence)[..] {
+        [Reply::Refuse(refusal)] => Some((refusal.cause, refusal.ran)),
+        [Reply::Break] => None,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(actual, case.refusal);
+    assert_eq!(router.active(), 0);
+    assert!(outputs.contains(&Output::Drained));
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -342,9 +342,41 @@
     );
 }
 
-/// Sends writes through two routers while sidecars restart, links are lost and callers retry the
-/// writes that have idempotency keys. Guards against running a write twice: fails if the sidecar
-/// does not keep records of attempts, refused ones included, and of idempotency keys.
+/// The limit of the drain has passed while a request still waits for a target.
+#[test]
+fn a_request_that_a_stop_can_not_wait_for_is_refused() {
+    let mut cluster = Cluster::start();
+    for sidecar in &mut cluster.sidecars {
+        sidecar.kill();
+    }
+    let mut settings = fleet::router_settings("router-0", &cluster.keys, &cluster.platform);
+    settings.drain_ms = 500;
+    cluster.routers[0].kill();
+    let mut router = fleet::router(settings);
+    let address = router.addresses.http;
+    eventually_routed(address);
+    let caller = thread::spawn(move || {
+        let fields = [ACCOUNT, ("x-timeout-ms", "30000")];
+        call(address, "GET", "/shop/catalog", &fields, "")
+    });
+    thread::sleep(Duration::from_millis(300));
+    assert!(!router.drain());
+    let answer = caller.join().expect("the caller ends");
+    assert_eq!(answer.expect("the request is answered").status, 503);
+}
+
+/// Waits until a router has rules, so that it knows the account.
+fn eventually_routed(address: SocketAddr) {
+    for _ in 0..500 {
+        let fields = [ACCOUNT, ("x-timeout-ms", "20")];
+        if get(address, "/shop/catalog", &fields).status == 503 {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the router has no rules after 5 s");
+}
+
 #[test]
 fn no_write_runs_twice() {
     const CALLERS: usize = 8;
