Serve nothing by rules that may be older than the bound

The new setting apply_ms has that bound. While rules were last confirmed longer ago, an unknown route or key gets 503 with a retry time, and if the store can be reached, so that this process alone is late, every request does. An outage of the store changes nothing for routes and keys that are there.

--- a/examples/standin/fleet.rs
+++ b/examples/standin/fleet.rs
@@ -313,6 +313,7 @@
         store,
         stop_s: 5.0,
         trust_ms: None,
+        apply_ms: None,
         policy: Default::default(),
         retry: SELF_EARNED,
         memory_mb: None,
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -25,7 +25,7 @@
 /// The limit below which the setting `stop_s` must be, in seconds.
 const MAX_STOP_SECONDS: f64 = 3_600.0;
 
-/// The limit below which the setting `trust_ms` must be, in milliseconds.
+/// The limit below which the settings `trust_ms` and `apply_ms` must be, in milliseconds.
 const MAX_TRUST_MS: f64 = 3_600_000.0;
 
 /// How a gateway queues requests and chooses their targets.
@@ -76,6 +76,11 @@
     /// milliseconds.
     #[serde(default)]
     pub trust_ms: Option<f64>,
+    /// The time within which a change of the rules must be in force, in milliseconds. While the rules
+    /// were last confirmed longer ago, a route or a key that they lack is not refused as unknown, and
+    /// if the store can be reached all the same, no request is served.
+    #[serde(default)]
+    pub apply_ms: Option<f64>,
     /// How requests are queued and their targets chosen.
     #[serde(default)]
     pub policy: Policy,
@@ -106,6 +111,12 @@
             .map(|limit| Duration::from_secs_f64(limit / 1_000.0))
     }
 
+    /// Returns the time within which a change of the rules must be in force, if there is a limit.
+    pub fn apply_limit(&self) -> Option<Duration> {
+        self.apply_ms
+            .map(|limit| Duration::from_secs_f64(limit / 1_000.0))
+    }
+
     /// Returns the seed addresses at which to look for other gateways, without that of this VM.
     pub fn peers(&self) -> impl Iterator<Item = IpAddr> {
         let seeds = self.seeds.iter().map(SocketAddr::ip);
@@ -127,11 +138,10 @@
         if !(0.0..MAX_STOP_SECONDS).contains(&self.stop_s) {
             return Some(("stop_s", format!("must be from 0 to {MAX_STOP_SECONDS}")));
         }
-        if self
-            .trust_ms
-            .is_some_and(|limit| !(0.0..MAX_TRUST_MS).contains(&limit))
-        {
-            return Some(("trust_ms", format!("must be from 0 to {MAX_TRUST_MS}")));
+        for (name, limit) in [("trust_ms", self.trust_ms), ("apply_ms", self.apply_ms)] {
+            if limit.is_some_and(|limit| !(0.0..MAX_TRUST_MS).contains(&limit)) {
+                return Some((name, format!("must be from 0 to {MAX_TRUST_MS}")));
+            }
         }
         if let Some(detail) = check_retry(&self.retry) {
             return Some(("retry", detail));
--- a/src/shell/gateway/freshness.rs
+++ b/src/shell/gateway/freshness.rs
@@ -48,6 +48,11 @@
         self.unreadable = unreadable;
     }
 
+    /// Returns whether the newest configuration can't be read.
+    pub(super) fn is_unreadable(&self) -> bool {
+        self.unreadable
+    }
+
     /// Records that `newest` was the store's newest revision at time `at`.
     pub(super) fn observe_newest(&mut self, now: Time, newest: Revision, at: Time) {
         match self.applied {
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -123,12 +123,19 @@
     if rules.generation() == 0 {
         return Err(refuse_unready(process, &envelope, "no-rules"));
     }
+    if process.is_behind() {
+        return Err(refuse_unready(process, &envelope, "overdue-rules"));
+    }
     if head.headers.get_all(HOST).iter().count() > 1 {
         log::info!("event=reject request={} cause=two-hosts", envelope.id);
         let detail = "the request names two hosts";
         return Err(reject(StatusCode::BAD_REQUEST, "two-hosts", detail));
     }
     let Some(route) = find_route(&rules, &head) else {
+        // Newer rules that have not been read yet may have the route.
+        if !process.rules_are_recent() {
+            return Err(refuse_unready(process, &envelope, "unconfirmed-route"));
+        }
         log::info!("event=reject request={} cause=no-route", envelope.id);
         let detail = "no rule routes this host and path";
         return Err(reject(StatusCode::NOT_FOUND, "no-route", detail));
@@ -223,6 +230,9 @@
     }
     match holder {
         Some(account) => Ok(Some(rules.name(account))),
+        None if !process.rules_are_recent() => {
+            Err(refuse_unready(process, envelope, "unconfirmed-key"))
+        }
         None => {
             log::info!("event=reject request={} cause=unknown-key", envelope.id);
             let detail = "the request has no key, or one that no rule names";
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -271,6 +271,21 @@
         }
     }
 
+    /// Returns whether every change of the rules that was made longer ago than the configured limit
+    /// is in force here.
+    pub(super) fn rules_are_recent(&self) -> bool {
+        match (self.rules_age(), self.settings.apply_limit()) {
+            (Some(age), Some(limit)) => age < limit,
+            _ => true,
+        }
+    }
+
+    /// Returns whether this process alone is late with the rules: they are not recent, although the
+    /// store can be reached.
+    pub(super) fn is_behind(&self) -> bool {
+        !self.rules_are_recent() && self.store.is_reachable()
+    }
+
     /// Returns whether the platform should send callers here: rules are in force, a target is
     /// serving, keys are trusted, and this process is not full, stopping or overloaded.
     pub(super) fn is_ready(&self) -> bool {
--- a/src/shell/gateway/store_state.rs
+++ b/src/shell/gateway/store_state.rs
@@ -44,6 +44,8 @@
     pending: Mutex<Pending>,
     /// The revision of the newest configuration that was read.
     config: Mutex<Option<Revision>>,
+    /// Whether the last read of the store succeeded.
+    reachable: AtomicBool,
     /// Whether anything has been published since the last [`StoreState::take_pending`].
     has_pending: AtomicBool,
     /// The number of gateways of this gateway's group that ask the store before it does.
@@ -101,6 +103,15 @@
         self.freshness().observe_newest(now, revision, at);
     }
 
+    pub(super) fn set_reachable(&self, reachable: bool) {
+        self.reachable.store(reachable, Ordering::Relaxed);
+    }
+
+    /// Returns whether the last read of the store succeeded, and yielded rules that can be read.
+    pub(super) fn is_reachable(&self) -> bool {
+        self.reachable.load(Ordering::Relaxed) && !self.freshness().is_unreadable()
+    }
+
     pub(super) fn set_rank(&self, rank: u32) {
         self.rank.store(rank, Ordering::Relaxed);
     }
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -144,7 +144,7 @@
             match read {
                 Ok(Ok(step)) => self.publish(step).await,
                 Ok(Err(err)) => {
-                    if self.connected.replace(Some(false)) != Some(false) {
+                    if self.set_connected(false) != Some(false) {
                         log::warn!("event=store-lost error=\"{err}\"");
                     }
                     sleep(RETRY_PAUSE).await;
@@ -153,7 +153,7 @@
                     let age = self.rules_age().map_or(-1, |age| age.as_millis() as i64);
                     log::warn!("event=watch-doubted cause={cancel_cause} rules_age_ms={age}");
                     if cancel_cause == CancelCause::Lost {
-                        self.connected.set(Some(false));
+                        self.set_connected(false);
                     }
                     store.reset();
                 }
@@ -216,11 +216,17 @@
         self.state.advance(self.clock.now(), revision, begun);
     }
 
+    /// Records whether the last call of the watch succeeded, and returns what it was before.
+    fn set_connected(&self, connected: bool) -> Option<bool> {
+        self.state.set_reachable(connected);
+        self.connected.replace(Some(connected))
+    }
+
     /// Records that a read has succeeded. Returns whether it is the first one after an outage in
     /// which entries may have lapsed.
     fn regain(&self, revision: Revision) -> bool {
         let begun = self.read_begun.get();
-        let lost = self.connected.replace(Some(true)) == Some(false);
+        let lost = self.set_connected(true) == Some(false);
         let outage = begun.saturating_sub(self.last_success.replace(begun));
         if lost {
             let away_ms = outage.as_millis();
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -1,11 +1,18 @@
 //! Gateways and the store over loopback: which state of the store they apply, how soon, and how many
 //! calls they make for it.
 
+mod child;
 mod net;
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
 use std::{
+    cell::RefCell,
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpStream,
     thread,
     time::{
         Duration,
@@ -13,11 +20,19 @@
     }, //
 };
 
+use child::Process;
 use net::{
+    HOST,
+    ID,
     Net,
     eventually, //
 };
 use rstest::rstest;
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
 use standin::store::Items;
 
 /// The shortest time in which one of today's deployments requires a change to be in force.
@@ -108,6 +123,69 @@
     });
 }
 
+struct Unknown {
+    path: &'static str,
+    key: &'static str,
+    /// The status while the rules are recent.
+    status: u16,
+}
+
+/// The rules that have been confirmed long ago lack a route or a key that newer ones may have.
+#[rstest]
+#[case::route(Unknown { path: "/none/1", key: "secret", status: 404 })]
+#[case::key(Unknown { path: "/read/1", key: "none", status: 401 })]
+fn what_old_rules_lack_is_not_refused_as_unknown(#[case] case: Unknown) {
+    let net = Net::start_with(1, |settings| settings.apply_ms = Some(1_500.0));
+    let fields = [HOST, ("credential", case.key), ID];
+    let status = || {
+        let answer = net.send("GET", case.path, &fields);
+        answer.expect("the gateway answers").status
+    };
+    assert_eq!(status(), case.status);
+    net.0.items.set_down(true);
+    eventually("newer rules may know it", || status() == 503);
+    // What the rules have is served.
+    assert_eq!(net.get("/read/1").status, 200);
+    net.0.items.set_down(false);
+    eventually("it is unknown", || status() == case.status);
+}
+
+/// A process that had no processor time knows nothing of the changes meanwhile, although nothing has
+/// failed.
+#[test]
+fn a_gateway_that_was_paused_serves_no_request_by_the_rules_from_before() {
+    let settings = RefCell::new(None);
+    let net = Net::start_with(1, |all| {
+        settings.replace(Some(all.clone()));
+    });
+    let mut settings = settings.take().expect("the region has started a gateway");
+    settings.apply_ms = Some(1_500.0);
+    let process = Process::gateway(&settings, "paused", None);
+    let pid = Pid::from_raw(process.child.id() as i32).expect("the process has an id");
+    kill_process(pid, Signal::STOP).expect("the process runs");
+    // The process reads the request well before it can learn of the change.
+    net.0.items.set_watches_paused(true);
+    net.0.items.set_delay("/kv-key", Duration::from_millis(400));
+    net.configure(2, &["other"]);
+    let request = "GET /read/1 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\r\n";
+    thread::sleep(Duration::from_millis(2_000));
+    let before = net.run_count();
+    kill_process(pid, Signal::CONT).expect("the process is paused");
+    // Its timers must have run, so that the request does not count as one that lay unread.
+    thread::sleep(Duration::from_millis(60));
+    let mut caller = TcpStream::connect(process.http).expect("the process listens");
+    caller
+        .write_all(request.as_bytes())
+        .expect("the connection is open");
+    let mut head = [0; 12];
+    caller
+        .read_exact(&mut head)
+        .expect("the request is answered");
+    let status = String::from_utf8_lossy(&head[9..]).into_owned();
+    assert!(["401", "503"].contains(&status.as_str()), "{status}");
+    assert_eq!(net.run_count(), before);
+}
+
 /// The store no longer keeps the events of the targets' removal. It was reachable all the time, so
 /// the targets are removed at once, not kept as entries that may only have lapsed in an outage.
 #[test]
