--- a/examples/standin/store.rs
+++ b/examples/standin/store.rs
@@ -31,6 +31,7 @@
     header::HeaderValue, //
 };
 use percent_encoding::percent_decode_str;
+use redwingyard::ids::Position;
 use serde_json::{
     Value,
     json, //
@@ -152,6 +153,22 @@
         state.delays.get(path).copied().unwrap_or_default()
     }
 
+    /// Returns the position of the last change.
+    pub fn position(&self) -> Position {
+        let state = self.state();
+        Position::new(state.era, state.revision)
+    }
+
+    /// Returns what follows a prefix in the keys of the items with it.
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        let state = self.state();
+        let names = state
+            .items
+            .keys()
+            .filter_map(|key| key.strip_prefix(prefix));
+        names.map(str::to_owned).collect()
+    }
+
     /// Copies all items.
     pub fn copy(&self) -> Copy {
         let state = self.state();
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -27,6 +27,7 @@
 use derive_more::Display;
 
 use crate::ids::{
+    Revision,
     Target,
     Time,
     id, //
@@ -35,6 +36,10 @@
 /// The time for which a target's drain notice is kept, which is far longer than any drain takes.
 const DRAIN_NOTICE_LIFETIME: Duration = Duration::from_secs(600);
 
+/// The time for which an entry in an older copy of the registry does not count if its target had left
+/// before: longer than the three heartbeats after which the registry removes a silent target's entry.
+pub const HELD_TIME: Duration = Duration::from_secs(10);
+
 /// The time that targets have to register again after an outage of the registry.
 pub const RESTORE_GRACE: Duration = Duration::from_millis(2_000);
 
@@ -55,6 +60,8 @@
         pub draining: bool,
         /// When it started, in milliseconds since the Unix epoch; zero where unknown.
         pub born: u64,
+        /// The registry's revision at which the entry was last written; zero where unknown.
+        pub revision: Revision,
     }
 }
 
@@ -79,6 +86,7 @@
             slots: 1,
             draining: false,
             born: 0,
+            revision: 0,
         }
     }
 }
@@ -104,6 +112,9 @@
     /// Another target has answered at the address of this one.
     #[display("event=target-moved target={_0}")]
     Moved(String),
+    /// A target that had left is in an older copy of the registry, and gets no requests for now.
+    #[display("event=target-held target={_0}")]
+    Held(String),
 }
 
 #[derive(Clone, Debug)]
@@ -115,6 +126,16 @@
     moved: bool,
 }
 
+impl KnownTarget {
+    fn departure(&self, now: Time) -> Departure {
+        Departure {
+            born: self.listing.born,
+            draining: self.listing.draining,
+            at: now,
+        }
+    }
+}
+
 /// The known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Feed {
@@ -123,6 +144,29 @@
     grace_end: Option<Time>,
     /// The last drain notice of each target. It takes precedence over the registry.
     leaving: BTreeMap<Target, ReceivedNotice>,
+    /// The targets that have left.
+    departed: BTreeMap<Target, Departure>,
+    /// The older copy of the registry that was read last, if it was not long ago.
+    copy: Option<OldCopy>,
+    /// The entries of targets that have left, which were in that copy.
+    held: BTreeMap<Target, Listing>,
+}
+
+/// The last known state of a target that has left.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    born: u64,
+    draining: bool,
+    at: Time,
+}
+
+/// An older copy of the registry, from which it has come back.
+#[derive(Clone, Copy, Debug)]
+struct OldCopy {
+    /// The first revision of it that was read: entries of later ones were written since.
+    revision: Revision,
+    /// Until when an entry of the copy does not show that its target is alive.
+    hold_end: Time,
 }
 
 /// A target's own notice that it is draining. It does not apply to a later start of the target.
@@ -143,11 +187,15 @@
         let in_grace = self.grace_end.is_some_and(|grace_end| now < grace_end);
         self.leaving
             .retain(|_, notice| now < notice.at + DRAIN_NOTICE_LIFETIME);
+        self.departed
+            .retain(|_, departure| now < departure.at + DRAIN_NOTICE_LIFETIME);
         let mut changes = Vec::new();
         let mut listed: BTreeMap<Target, Listing> = BTreeMap::new();
         for listing in list {
             listed.insert(id(&listing.name), listing);
         }
+        self.held.retain(|target, _| listed.contains_key(target));
+        let departed = &mut self.departed;
         self.known.retain(|target, known| {
             if listed.contains_key(target) {
                 return true;
@@ -157,26 +205,82 @@
             }
             known.lapsed = in_grace;
             if !in_grace {
+                departed.insert(*target, known.departure(now));
                 changes.push(Change::Left(known.listing.name.clone()));
             }
             in_grace
         });
         for (target, listing) in listed {
-            changes.extend(self.apply(target, listing));
+            let change = match self.holds(now, target, &listing) {
+                true => self.hold(target, listing),
+                false => self.apply(target, listing),
+            };
+            changes.extend(change);
         }
         changes
     }
 
+    /// Records that the registry has come back from an older copy, whose first `revision` was read
+    /// now. The next list is the first one of that copy.
+    ///
+    /// What the copy lacks is kept as after an outage. What had left and is in the copy again gets no
+    /// requests until it is written anew, or until [`HELD_TIME`] has passed and it is still there.
+    pub fn return_to(&mut self, now: Time, revision: Revision) {
+        let hold_end = now + HELD_TIME;
+        self.copy = Some(OldCopy { revision, hold_end });
+    }
+
+    /// Returns whether an entry is that of a target that has left, from an older copy of the registry.
+    fn holds(&self, now: Time, target: Target, listing: &Listing) -> bool {
+        let is_old = |copy: &OldCopy| listing.revision <= copy.revision && now < copy.hold_end;
+        let departed = self.departed.get(&target).map(|departure| departure.born);
+        let held = self.held.get(&target).map(|listing| listing.born);
+        self.copy.as_ref().is_some_and(is_old) && departed.max(held) >= Some(listing.born)
+    }
+
+    fn hold(&mut self, target: Target, listing: Listing) -> Option<Change> {
+        let name = listing.name.clone();
+        let first = self.held.insert(target, listing).is_none();
+        first.then_some(Change::Held(name))
+    }
+
+    /// Returns the entries that are held back, as their targets had left.
+    pub fn held(&self) -> impl Iterator<Item = &Listing> {
+        self.held.values()
+    }
+
+    /// Holds back the entry of a target that has left, as another router knows: it read the same
+    /// `revision` of the entry from an older copy of the registry.
+    pub fn hold_entry(&mut self, now: Time, target: Target, revision: Revision) -> Option<Change> {
+        let known = self.known.get(&target)?;
+        if known.listing.revision != revision {
+            return None;
+        }
+        let known = self.known.remove(&target)?;
+        let hold_end = now + HELD_TIME;
+        let copy = self.copy.get_or_insert(OldCopy { revision, hold_end });
+        copy.revision = copy.revision.max(revision);
+        self.hold(target, known.listing)
+    }
+
     /// Removes the targets that are still missing once [`RESTORE_GRACE`] has passed since an
     /// outage of the registry.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if self.copy.is_some_and(|copy| now >= copy.hold_end) {
+            self.copy = None;
+            for (target, listing) in std::mem::take(&mut self.held) {
+                changes.extend(self.apply(target, listing));
+            }
+        }
         if self.grace_end.is_none_or(|grace_end| now < grace_end) {
-            return Vec::new();
+            return changes;
         }
         self.grace_end = None;
-        let mut changes = Vec::new();
-        self.known.retain(|_, known| {
+        let departed = &mut self.departed;
+        self.known.retain(|target, known| {
             if known.lapsed {
+                departed.insert(*target, known.departure(now));
                 changes.push(Change::Left(known.listing.name.clone()));
             }
             !known.lapsed
@@ -186,8 +290,12 @@
 
     fn apply(&mut self, target: Target, mut listing: Listing) -> Option<Change> {
         let name = listing.name.clone();
+        self.held.remove(&target);
         let notice = self.leaving.get(&target);
         listing.draining |= notice.is_some_and(|notice| notice.born >= listing.born);
+        let departure = self.departed.remove(&target);
+        listing.draining |=
+            departure.is_some_and(|last| last.draining && last.born >= listing.born);
         let Some(known) = self.known.get_mut(&target) else {
             let draining = listing.draining;
             let known = KnownTarget {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The identifier of a client account, the hash of its name.
@@ -25,6 +26,34 @@
 /// The revision of the store; each change of any key increments it.
 pub type Revision = u64;
 
+/// The number of times that the store has come back from an older copy of itself; zero where it says
+/// none. Changes after the copy are lost, and their revisions are given to other changes.
+pub type Era = u64;
+
+data! {
+    /// A position in the store's history. A position of a later era is later, whatever the revisions.
+    ///
+    /// ```
+    /// use redwingyard::ids::Position;
+    /// assert!(Position::new(2, 15) > Position::new(1, 120));
+    /// ```
+    #[derive(Copy, Default, PartialOrd, Ord, Display)]
+    #[display("era={era} revision={revision}")]
+    pub struct Position {
+        /// The era.
+        pub era: Era,
+        /// The revision of the last change.
+        pub revision: Revision,
+    }
+}
+
+impl Position {
+    /// Returns the position of a revision of an era.
+    pub const fn new(era: Era, revision: Revision) -> Self {
+        Self { era, revision }
+    }
+}
+
 /// The identifier of a part of a prompt, its name as a number or the hash of its name.
 pub type Part = u64;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod mesh;
 pub mod platform;
 pub mod pool;
+pub mod replica;
 pub mod router;
 pub mod rules;
 pub mod settings;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,6 +17,10 @@
     Error,
     From, //
 };
+use hyper::header::{
+    HeaderMap,
+    HeaderName, //
+};
 use percent_encoding::{
     AsciiSet,
     NON_ALPHANUMERIC,
@@ -31,7 +35,11 @@
 };
 use crate::{
     feed::Listing,
-    ids::Revision,
+    ids::{
+        Era,
+        Position,
+        Revision, //
+    },
     rules::{
         self,
         Rules, //
@@ -40,6 +48,9 @@
 
 const CONFIG_KEY: &str = "op/config";
 
+/// The field of an answer's head with the store's era.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// The prefix of the keys of registered servers.
 const SERVER_PREFIX: &str = "servers/";
 
@@ -78,6 +89,13 @@
     /// The answer is not JSON of the expected structure.
     #[display("the store's answer can't be read: {_0}")]
     Json(serde_json::Error),
+    /// The store's era can't be read.
+    #[display("the store's era is not a number")]
+    Era,
+    /// The answer is of an earlier era than one before it, such as that of a stale proxy.
+    #[display("the answer is of era {_0}, after one of era {_1}")]
+    #[from(skip)]
+    EarlierEra(#[error(not(source))] Era, Era),
     /// A page does not follow the one before it.
     #[display("the page after the key {_0:?} ends before it")]
     #[from(skip)]
@@ -139,8 +157,8 @@
 /// The operator's configuration as it was read from the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigItem {
-    /// The store's revision at its last change.
-    pub revision: Revision,
+    /// The position of its last change.
+    pub position: Position,
     /// The document as base64 text.
     value: String,
 }
@@ -176,21 +194,22 @@
     /// The last page: all targets. They are at least as new as the configuration of the first
     /// [`Step::Config`] of this read.
     Listed {
-        /// The store's revision when this read began.
-        revision: Revision,
+        /// The store's position when this read began.
+        position: Position,
         /// All registered targets.
         targets: Registry,
     },
     /// The changes since the last step.
     Changed {
-        /// The revision up to which changes are now known.
-        revision: Revision,
+        /// The position up to which changes are now known.
+        position: Position,
         /// The configurations that were written, oldest first.
         configs: Vec<ConfigItem>,
         /// All registered targets, if any of them has changed.
         targets: Option<Registry>,
     },
-    /// The store no longer keeps the changes since the last step, so everything must be read again.
+    /// The store no longer keeps the changes since the last step, or has come back from an older copy,
+    /// so everything must be read again.
     HistoryLost,
 }
 
@@ -226,6 +245,8 @@
 pub struct Store {
     address: SocketAddr,
     client: Option<Client>,
+    /// The latest era of any answer.
+    era: Option<Era>,
     progress: Progress,
     /// The entries of the last whole read, with all changes since then.
     servers: Servers,
@@ -237,6 +258,7 @@
         Self {
             address,
             client: None,
+            era: None,
             progress: Progress::Unread,
             servers: Servers::new(),
         }
@@ -269,9 +291,9 @@
 
     /// Begins to read everything.
     async fn begin(&mut self) -> Result<Step, StoreError> {
-        let (config, revision) = self.read_config().await?;
+        let (config, position) = self.read_config().await?;
         self.progress = Progress::Reading(Reading {
-            revision,
+            revision: position.revision,
             after: String::new(),
             servers: Servers::new(),
             stale: false,
@@ -282,9 +304,10 @@
     /// Reads the configuration again, in the middle of a read of everything.
     async fn refresh(&mut self) -> Result<Step, StoreError> {
         let (config, _) = self.read_config().await?;
-        if let Progress::Reading(reading) = &mut self.progress {
-            reading.stale = false;
-        }
+        let Progress::Reading(reading) = &mut self.progress else {
+            return Ok(Step::HistoryLost);
+        };
+        reading.stale = false;
         Ok(Step::Config(config))
     }
 
@@ -325,7 +348,7 @@
         self.servers = std::mem::take(&mut reading.servers);
         self.progress = Progress::Synced(revision);
         Ok(Step::Listed {
-            revision,
+            position: self.position(revision),
             targets: self.registry(),
         })
     }
@@ -343,6 +366,9 @@
             }
             body => body?,
         };
+        if !self.is_synced() {
+            return Ok(Step::HistoryLost);
+        }
         let changes: Changes = serde_json::from_slice(&body)?;
         let mut configs = Vec::new();
         let mut changed = false;
@@ -351,14 +377,14 @@
                 let value = event.value.as_deref();
                 changed |= apply_server(&mut self.servers, &event.key, event.revision, value);
             } else if event.key == CONFIG_KEY {
-                let revision = event.revision;
-                configs.extend(event.value.map(|value| ConfigItem { revision, value }));
+                let position = self.position(event.revision);
+                configs.extend(event.value.map(|value| ConfigItem { position, value }));
             }
         }
         let revision = changes.store_revision.max(since);
         self.progress = Progress::Synced(revision);
         Ok(Step::Changed {
-            revision,
+            position: self.position(revision),
             configs,
             targets: changed.then(|| self.registry()),
         })
@@ -379,21 +405,37 @@
         self.progress = Progress::Unread;
     }
 
-    /// Reads the configuration, and returns it with the store's revision at its newest change of
-    /// any key.
+    /// Reads the configuration, and returns it with the store's position at its newest change of any
+    /// key.
     ///
     /// # Errors
     ///
     /// Fails if the store does not answer in time or has no configuration.
-    pub async fn read_config(&mut self) -> Result<(ConfigItem, Revision), StoreError> {
+    pub async fn read_config(&mut self) -> Result<(ConfigItem, Position), StoreError> {
         let path = format!("kv-key?key={CONFIG_KEY}");
         let body = self.get(&path, Duration::ZERO).await?;
         let read: Read = serde_json::from_slice(&body)?;
         let config = ConfigItem {
-            revision: read.item.revision,
+            position: self.position(read.item.revision),
             value: read.item.value,
         };
-        Ok((config, read.store_revision))
+        Ok((config, self.position(read.store_revision)))
+    }
+
+    /// Returns the position of a revision of the current era.
+    fn position(&self, revision: Revision) -> Position {
+        Position::new(self.era.unwrap_or(0), revision)
+    }
+
+    /// Records the era of an answer. What was read before a later era can't be continued.
+    fn enter_era(&mut self, era: Era) -> Result<(), StoreError> {
+        match self.era {
+            Some(known) if era < known => return Err(StoreError::EarlierEra(era, known)),
+            Some(known) if era > known => self.progress = Progress::Unread,
+            _ => {}
+        }
+        self.era = Some(era);
+        Ok(())
     }
 
     fn registry(&self) -> Registry {
@@ -413,14 +455,18 @@
         let url = format!("http://{}/{path}", self.address);
         let call = async {
             let response = client.get(url)?.send().await?;
-            match response.status().as_u16() {
+            let era = read_era(response.headers())?;
+            let body = match response.status().as_u16() {
                 200 => Ok(response.bytes().await?.to_vec()),
                 status => Err(StoreError::Status(status)),
-            }
+            };
+            Ok((era, body))
         };
-        let body = timeout(wait + CALL_TIMEOUT, call)
+        let (era, body) = timeout(wait + CALL_TIMEOUT, call)
             .await
             .unwrap_or(Err(StoreError::Timeout))?;
+        self.enter_era(era)?;
+        let body = body?;
         // The client is kept only after a success, so a connection on which a call has failed is not
         // used again.
         self.client = Some(client);
@@ -428,6 +474,18 @@
     }
 }
 
+/// Reads the store's era from the head of an answer; it is zero where the store says none.
+fn read_era(headers: &HeaderMap) -> Result<Era, StoreError> {
+    let Some(value) = headers.get(ERA) else {
+        return Ok(0);
+    };
+    let era = value
+        .to_str()
+        .ok()
+        .and_then(|value| value.trim().parse().ok());
+    era.ok_or(StoreError::Era)
+}
+
 /// Applies a server's entry, or its deletion if `value` is `None`, and returns whether the registry
 /// has changed.
 fn apply_server(servers: &mut Servers, key: &str, revision: Revision, value: Option<&str>) -> bool {
@@ -441,6 +499,10 @@
     let name = key.strip_prefix(SERVER_PREFIX).unwrap_or(key);
     let value = STANDARD.decode(value).ok();
     let listing = value.and_then(|value| parse_listing(name, &value));
+    let listing = listing.map(|listing| Listing {
+        revision,
+        ..listing
+    });
     let changed = known.is_none_or(|(_, previous)| *previous != listing);
     servers.insert(key.to_owned(), (revision, listing));
     changed
--- a/src/platform/targets.rs
+++ b/src/platform/targets.rs
@@ -76,5 +76,6 @@
         slots: server.slots,
         draining: server.state == State::Draining,
         born: server.born,
+        revision: 0,
     })
 }
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -36,6 +36,8 @@
     pub(super) active: IntGauge,
     pub(super) generation: IntGauge,
     pub(super) rules_age: IntGauge,
+    pub(super) era: IntGauge,
+    pub(super) held_entries: IntGauge,
     pub(super) delay: IntGauge,
     pub(super) memory: IntGauge,
     pub(super) held: IntGauge,
@@ -117,6 +119,15 @@
             ),
             active: gauge("redwingyard_requests", "Requests that have not ended."),
             generation: gauge("redwingyard_generation", "Generation in force."),
+            era: gauge(
+                "redwingyard_store_era",
+                "Times that the store has come back from an older copy, by its own count.",
+            ),
+            held_entries: gauge(
+                "redwingyard_held_entries",
+                "Entries of targets in an older copy of the store that get no requests, as they had \
+                 left.",
+            ),
             rules_age: gauge(
                 "redwingyard_rules_age_ms",
                 "Milliseconds since the rules in force were known to be the newest.",
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -9,7 +9,6 @@
 mod call;
 mod decision_line;
 mod exchange;
-mod freshness;
 mod front;
 mod metrics;
 mod overload;
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -21,14 +21,11 @@
     time::sleep, //
 };
 
-use super::{
-    freshness::SentTimes,
-    process::Process, //
-};
+use super::process::Process;
 use crate::{
     ids::{
         Incarnation,
-        Revision,
+        Position,
         Time,
         id, //
     },
@@ -40,11 +37,13 @@
         Source, //
     },
     pool::PartReport,
+    replica::SentTimes,
     settings::GatewaySettings,
     wire::{
         Beacon,
         Echo,
-        NewestRevision, //
+        NewestPosition,
+        StoreMark, //
     }, //
 };
 
@@ -99,6 +98,8 @@
     last_discovery: Cell<Time>,
     /// Whether sending failed in the last round.
     send_failing: Cell<bool>,
+    /// Whether the rules in force have been compared with those of another gateway.
+    heard: Cell<bool>,
 }
 
 impl Peers {
@@ -115,9 +116,15 @@
             last_sequence: Cell::new(0),
             last_discovery: Cell::new(Duration::ZERO),
             send_failing: Cell::new(false),
+            heard: Cell::new(false),
         }
     }
 
+    /// Returns whether the rules in force have been compared with those of another gateway.
+    pub(super) fn has_heard(&self) -> bool {
+        self.heard.get()
+    }
+
     /// Returns the number of other gateways that are alive and not stopping.
     pub(super) fn len(&self) -> usize {
         self.mesh.borrow().len()
@@ -156,16 +163,16 @@
         to.iter().filter_map(echo).collect()
     }
 
-    /// Returns the newest store revision that a datagram reports, with a time at which it was the
-    /// newest one; `None` if the datagram echoes no recent one of this gateway.
-    fn newest_revision(&self, beacon: &Beacon) -> Option<(Revision, Time)> {
-        let newest = beacon.newest?;
+    /// Returns the newest position of the store that a datagram reports, with a time at which it was
+    /// the newest one; `None` if the datagram echoes no recent one of this gateway.
+    fn newest_position(&self, beacon: &Beacon) -> Option<(Position, Time)> {
+        let newest = beacon.store.newest?;
         let own_id = mesh::router_id(self.own_address.ip());
         let echo = beacon.echoes.iter().find(|echo| echo.router == own_id)?;
         let sent_times = self.sent_times.borrow();
         let millis = |time: u32| Duration::from_millis(u64::from(time));
         let at = sent_times.lower_bound(echo.sequence, millis(echo.age), millis(newest.age))?;
-        Some((newest.revision, at))
+        Some((newest.position, at))
     }
 
     /// Updates the membership from a datagram. Returns the source of the datagram's aggregates, if
@@ -238,18 +245,42 @@
         }
     }
 
+    /// Returns what this gateway knows of the store, without what it can confirm to the recipients of
+    /// one datagram only.
+    fn store_mark(&self) -> StoreMark {
+        let rules = self.rules_mark();
+        StoreMark {
+            newest: None,
+            rules: (rules.generation > 0).then_some(rules),
+            held: self.held_entries(),
+        }
+    }
+
+    /// Applies what another gateway knows of the store.
+    fn merge_store_mark(&self, mark: &StoreMark) {
+        if mark.rules.is_some_and(|rules| self.compare_rules(rules)) {
+            self.peers.heard.set(true);
+        }
+        for entry in &mark.held {
+            self.hold_entry(*entry);
+        }
+    }
+
     /// Returns a datagram with the aggregates that this gateway sends in a scope.
     fn aggregates_beacon(&self, scope: Scope, to: &[IpAddr], parts: &[PartReport]) -> Beacon {
         let (source, groups) = self.peers.mesh.borrow().own_source(scope);
         let pool = self.pool.borrow();
         let now = self.clock.now();
-        let newest = |(revision, at)| NewestRevision {
-            revision,
+        let newest = |(position, at)| NewestPosition {
+            position,
             age: now.saturating_sub(at).as_millis() as u32 + 1,
         };
         Beacon {
             echoes: self.peers.echoes(now, to),
-            newest: self.confirmed().map(newest),
+            store: StoreMark {
+                newest: self.confirmed().map(newest),
+                ..self.store_mark()
+            },
             source: Some(source),
             groups,
             loads: pool.loads(scope),
@@ -272,9 +303,10 @@
         if !self.peers.is_new(now, from, &beacon) {
             return None;
         }
-        if let Some((revision, at)) = self.peers.newest_revision(&beacon) {
-            self.observe_newest(revision, at);
+        if let Some((position, at)) = self.peers.newest_position(&beacon) {
+            self.observe_newest(position, at);
         }
+        self.merge_store_mark(&beacon.store);
         if let Some(source) = self.peers.update_membership(now, from, &beacon) {
             let mut pool = self.pool.borrow_mut();
             pool.merge_peer(now, source, &beacon.loads, &beacon.usages);
@@ -286,6 +318,7 @@
         }
         beacon.wants_members.then(|| Beacon {
             parts: self.pool.borrow().quarantine_reports(now),
+            store: self.store_mark(),
             ..self.base_beacon(MAX_REPLY_UPDATES)
         })
     }
@@ -296,7 +329,7 @@
         self.peers.expire(self.clock.now());
         let mesh = self.peers.mesh.borrow();
         let mut pool = self.pool.borrow_mut();
-        self.store.set_rank(mesh.rank());
+        self.store.set_fleet(mesh.rank(), mesh.len() + 1);
         pool.set_routers(self.clock.now(), mesh.len() + 1);
         pool.set_rank(mesh.fleet_rank());
         pool.retain_sources(|source| mesh.accepts(source));
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -35,9 +35,10 @@
 use crate::{
     feed::Feed,
     ids::{
+        Generation,
         Incarnation,
         Part,
-        Revision,
+        Position,
         Sequence,
         Target,
         Time,
@@ -76,7 +77,8 @@
             self,
             MEASURE_INTERVAL, //
         }, //
-    }, //
+    },
+    wire::RulesMark, //
 };
 
 /// The timeout for connecting to a target: some hundred round trips within a region, and short
@@ -93,6 +95,13 @@
 /// The shortest interval between two log lines about a late event loop.
 const LATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The time after which a report of rules that the store has lost no longer counts: many gossip rounds.
+const MISSING_TIME: Duration = Duration::from_secs(5);
+
+/// The longest time after its start for which a process that reads a store which has come back from an
+/// older copy waits for word from another gateway before it trusts keys: some rounds of discovery.
+const LISTEN_TIME: Duration = Duration::from_millis(1_000);
+
 /// How far below the configured limit the age of the rules must be for keys to be trusted. This
 /// margin covers the time that a request may have spent in transit and the difference to the
 /// platform's clock.
@@ -119,9 +128,14 @@
     pub(super) metrics: Metrics,
     pub(super) pool: RefCell<Pool>,
     rules: RefCell<Rc<Rules>>,
-    /// The store revision that the rules and the targets are at least as new as, and the last time at
-    /// which it was the newest one.
-    confirmed: Cell<Option<(Revision, Time)>>,
+    /// The position of the store at which the rules in force were last changed.
+    rules_position: Cell<Position>,
+    /// Newer rules that another gateway has in force and the store no longer has: their generation, and
+    /// when that was last reported.
+    missing: Cell<Option<(Generation, Time)>>,
+    /// The store's position that the rules and the targets are at least as new as, and the last time
+    /// at which it was the newest one.
+    confirmed: Cell<Option<(Position, Time)>>,
     pub(super) feed: RefCell<Feed>,
     /// The channel to each request's task.
     decisions: RefCell<HashMap<Sequence, UnboundedSender<Decision>>>,
@@ -176,6 +190,8 @@
             metrics: Metrics::new(),
             pool: RefCell::new(Pool::new(pool)),
             rules: RefCell::default(),
+            rules_position: Cell::default(),
+            missing: Cell::new(None),
             confirmed: Cell::new(None),
             feed: RefCell::default(),
             decisions: RefCell::default(),
@@ -203,11 +219,19 @@
         self.rules.borrow().clone()
     }
 
-    /// Puts rules in force if their generation is newer than the one in force.
-    fn apply_rules(&self, rules: Rules) {
-        let (old, new) = (self.rules().generation(), rules.generation());
-        if new <= old {
-            return log::warn!("event=rules-refused generation={new} in_force={old}");
+    /// Puts rules in force that were last changed at a position, if their generation is newer than the
+    /// one in force. The same generation is put in force again if the store has come back from an
+    /// older copy and it was written otherwise since.
+    fn apply_rules(&self, position: Position, rules: Rules) {
+        let in_force = self.rules();
+        let (old, new) = (in_force.generation(), rules.generation());
+        let returned = position.era > self.rules_position.get().era;
+        if new < old || (new == old && !returned) {
+            return log::warn!("event=rules-refused {position} generation={new} in_force={old}");
+        }
+        self.rules_position.set(position);
+        if new == old && rules.digest() == in_force.digest() {
+            return;
         }
         let entries = rules.entries().len();
         log::info!("event=rules generation={new} replaced={old} lines={entries}");
@@ -231,26 +255,71 @@
     pub(super) fn apply_updates(&self) {
         // This comes first, because the other thread may publish newer rules and confirm them at any
         // time: rules that are not in force must not count as confirmed.
-        self.confirmed.set(self.store.freshness().confirmed());
+        self.confirmed.set(self.store.replica().confirmed());
         let Some(pending) = self.store.take_pending() else {
             return;
         };
-        if let Some(rules) = pending.rules {
-            self.apply_rules(rules);
+        if let Some((position, rules)) = pending.rules {
+            self.apply_rules(position, rules);
         }
         if let Some(targets) = pending.targets {
-            self.update_targets(targets, pending.restored);
+            self.update_targets(targets);
         }
     }
 
-    /// Records that `revision` was the newest revision of the store at time `at`.
-    pub(super) fn observe_newest(&self, revision: Revision, at: Time) {
-        self.store.observe_newest(self.clock.now(), revision, at);
+    /// Records that a position was the newest one of the store at time `at`.
+    pub(super) fn observe_newest(&self, newest: Position, at: Time) {
+        let now = self.clock.now();
+        self.store.replica().observe_newest(now, newest, at);
     }
 
-    /// Returns the store revision that has been read here and the last time at which it was
+    /// Returns the rules in force as other gateways compare them with theirs.
+    pub(super) fn rules_mark(&self) -> RulesMark {
+        RulesMark {
+            position: self.rules_position.get(),
+            generation: self.rules().generation(),
+        }
+    }
+
+    /// Compares the rules in force with those of another gateway. If it has newer ones, and
+    /// everything is read here up to the position at which they were written, the store has lost
+    /// them. Returns whether anything has been read here to compare with.
+    pub(super) fn compare_rules(&self, other: RulesMark) -> bool {
+        self.apply_updates();
+        let Some(applied) = self.store.replica().applied() else {
+            return false;
+        };
+        if applied < other.position || other.generation <= self.rules().generation() {
+            return true;
+        }
+        let generation = other.generation;
+        let known = self.missing.replace(Some((generation, self.clock.now())));
+        if known.is_none_or(|(known, _)| known != generation) {
+            let in_force = self.rules().generation();
+            log::warn!("event=rules-missing generation={generation} in_force={in_force}");
+        }
+        true
+    }
+
+    /// Returns the generation of rules that the store has lost and another gateway has in force.
+    pub(super) fn missing_generation(&self) -> Option<Generation> {
+        let (generation, at) = self.missing.get()?;
+        let is_recent = self.clock.now() < at + MISSING_TIME;
+        let is_newer = generation > self.rules().generation();
+        (is_recent && is_newer).then_some(generation)
+    }
+
+    /// Returns whether other gateways may know of rules that the store has lost, and none has been
+    /// compared with since this process has started.
+    fn is_listening(&self) -> bool {
+        let has_returned = self.rules_position.get().era > 0;
+        let is_new = self.clock.now() < LISTEN_TIME;
+        has_returned && is_new && !self.peers.has_heard() && self.settings.peers().next().is_some()
+    }
+
+    /// Returns the store's position that has been read here and the last time at which it was
     /// confirmed to be the newest one.
-    pub(super) fn confirmed(&self) -> Option<(Revision, Time)> {
+    pub(super) fn confirmed(&self) -> Option<(Position, Time)> {
         self.confirmed.get()
     }
 
@@ -264,6 +333,9 @@
     /// Returns whether the rules are fresh enough to trust their keys: a key that was revoked
     /// longer ago than the configured limit is no longer among them.
     pub(super) fn keys_trusted(&self) -> bool {
+        if self.missing_generation().is_some() || self.is_listening() {
+            return false;
+        }
         match (self.rules_age(), self.settings.trust_limit()) {
             (None, _) => false,
             (Some(_), None) => true,
@@ -274,6 +346,9 @@
     /// Returns whether every change of the rules that was made longer ago than the configured limit
     /// is in force here.
     pub(super) fn rules_are_recent(&self) -> bool {
+        if self.missing_generation().is_some() {
+            return false;
+        }
         match (self.rules_age(), self.settings.apply_limit()) {
             (Some(age), Some(limit)) => age < limit,
             _ => true,
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -54,6 +54,7 @@
     watch, //
 };
 use crate::{
+    ids::Position,
     pool::{
         MemoryBudget,
         PartStatus,
@@ -193,6 +194,12 @@
     generation: u64,
     digest: String,
     rules_age_ms: Option<u64>,
+    /// The store's position up to which everything was read.
+    store: Option<Position>,
+    /// The generation of rules that the store has lost and another gateway has in force.
+    missing: Option<u64>,
+    /// The entries that are held back because their targets had left.
+    held: Vec<String>,
     ready: bool,
     peers: usize,
     requests: usize,
@@ -450,6 +457,14 @@
         generation: rules.generation(),
         digest: format!("{:016x}", rules.digest()),
         rules_age_ms: process.rules_age().map(|age| age.as_millis() as u64),
+        store: process.store.replica().applied(),
+        missing: process.missing_generation(),
+        held: process
+            .feed
+            .borrow()
+            .held()
+            .map(|listing| listing.name.clone())
+            .collect(),
         ready: process.is_ready(),
         peers: process.peers.len(),
         requests: pool.active(),
@@ -470,5 +485,9 @@
     metrics.generation.set(process.rules().generation() as i64);
     let age = process.rules_age().map_or(-1, |age| age.as_millis() as i64);
     metrics.rules_age.set(age);
+    let position = process.store.replica().applied().unwrap_or_default();
+    metrics.era.set(position.era as i64);
+    let held = process.feed.borrow().held().count();
+    metrics.held_entries.set(held as i64);
     metrics.text()
 }
--- a/src/shell/gateway/targets.rs
+++ b/src/shell/gateway/targets.rs
@@ -14,21 +14,61 @@
         id, //
     },
     platform::Notice,
-    pool::TargetSpec, //
+    pool::TargetSpec,
+    replica::TargetList,
+    wire::HeldEntry, //
 };
 
+/// The largest number of held entries in a datagram.
+const MAX_HELD_ENTRIES: usize = 64;
+
 /// The time for which gossip reports that a target is leaving: many gossip rounds.
 const DRAIN_GOSSIP_TIME: Duration = Duration::from_secs(5);
 
 impl Process {
-    /// Applies the list of registered targets; `restored` says that it is the first one after an
-    /// outage of the store.
-    pub(super) fn update_targets(&self, list: Vec<Listing>, restored: bool) {
+    /// Applies the list of registered targets.
+    pub(super) fn update_targets(&self, list: TargetList) {
         let now = self.clock.now();
-        let changes = self.feed.borrow_mut().update(now, list, restored);
+        let restored = list.restored || list.returned.is_some();
+        let changes = {
+            let mut feed = self.feed.borrow_mut();
+            if let Some(position) = list.returned {
+                feed.return_to(now, position.revision);
+            }
+            feed.update(now, list.targets, restored)
+        };
+        if let Some(position) = list.returned {
+            let generation = self.rules().generation();
+            let kept = |change: &&Change| matches!(change, Change::Lapsed(_));
+            let kept = changes.iter().filter(kept).count();
+            let held = self.feed.borrow().held().count();
+            log::warn!(
+                "event=store-returned {position} generation={generation} kept={kept} held={held}"
+            );
+        }
         self.apply_changes(&changes);
     }
 
+    /// Returns some of the entries that are held back because their targets had left.
+    pub(super) fn held_entries(&self) -> Vec<HeldEntry> {
+        let feed = self.feed.borrow();
+        let entry = |listing: &Listing| HeldEntry {
+            target: id(&listing.name),
+            revision: listing.revision,
+        };
+        feed.held().take(MAX_HELD_ENTRIES).map(entry).collect()
+    }
+
+    /// Holds back an entry as another gateway does.
+    pub(super) fn hold_entry(&self, entry: HeldEntry) {
+        let now = self.clock.now();
+        let held = self
+            .feed
+            .borrow_mut()
+            .hold_entry(now, entry.target, entry.revision);
+        self.apply_changes(held.as_slice());
+    }
+
     /// Logs changes of the feed and updates the pool's targets.
     pub(super) fn apply_changes(&self, changes: &[Change]) {
         for change in changes {
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -25,7 +25,7 @@
 use super::store_state::StoreState;
 use crate::{
     ids::{
-        Revision,
+        Position,
         Time, //
     },
     platform::{
@@ -49,6 +49,9 @@
 /// entry means that its target is gone.
 const MIN_LAPSE_OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// The time over which the gateways of a fleet spread their reads of all targets, for each gateway.
+const SPREAD_TIME: Duration = Duration::from_micros(2_500);
+
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -94,6 +97,8 @@
     last_success: Cell<Time>,
     /// When the read that is under way was begun.
     read_begun: Cell<Time>,
+    /// Whether other gateways may begin to read everything at the same time as this one.
+    spread: Cell<bool>,
     /// The number of entries in the last list of targets that name no target.
     odd: Cell<usize>,
 }
@@ -113,6 +118,7 @@
         cancel_cause: Cell::new(None),
         last_success: Cell::new(Duration::ZERO),
         read_begun: Cell::new(Duration::ZERO),
+        spread: Cell::new(false),
         odd: Cell::new(0),
     };
     let run = move || {
@@ -130,7 +136,7 @@
 }
 
 impl StoreReader {
-    /// Publishes every change of the rules and the targets.
+    /// Hands on every change of the rules and the targets.
     async fn watch(&self) {
         let mut store = Store::new(self.address);
         loop {
@@ -142,11 +148,12 @@
                 false => Ok(store.next(WATCH_TIMEOUT).await),
             };
             match read {
-                Ok(Ok(step)) => self.publish(step).await,
+                Ok(Ok(step)) => self.take(step).await,
                 Ok(Err(err)) => {
                     if self.set_connected(false) != Some(false) {
                         log::warn!("event=store-lost error=\"{err}\"");
                     }
+                    self.spread.set(true);
                     sleep(RETRY_PAUSE).await;
                 }
                 Err(cancel_cause) => {
@@ -161,59 +168,74 @@
         }
     }
 
-    /// Publishes what a call has returned.
-    async fn publish(&self, step: Step) {
+    /// Hands on what a call has returned.
+    async fn take(&self, step: Step) {
         match step {
-            Step::Config(config) => self.publish_config(&config),
+            Step::Config(config) => {
+                self.put_config(&config);
+                if self.spread.take() {
+                    sleep(self.spread_time()).await;
+                }
+            }
             Step::Page => {}
-            Step::Listed { revision, targets } => {
-                let restored = self.regain(revision);
-                self.publish_targets(targets, restored);
-                self.advance(revision);
+            Step::Listed { position, targets } => {
+                let restored = self.regain(position);
+                self.put_targets(position, targets, restored);
+                self.advance(position);
                 sleep(BATCH_PAUSE).await;
             }
             Step::Changed {
-                revision,
+                position,
                 configs,
                 targets,
             } => {
                 let changed = !configs.is_empty() || targets.is_some();
                 for config in &configs {
-                    self.publish_config(config);
+                    self.put_config(config);
                 }
-                let restored = self.regain(revision);
+                let restored = self.regain(position);
                 if let Some(targets) = targets {
-                    self.publish_targets(targets, restored);
+                    self.put_targets(position, targets, restored);
                 }
-                self.advance(revision);
+                self.advance(position);
                 if changed {
                     sleep(BATCH_PAUSE).await;
                 }
             }
-            Step::HistoryLost => log::info!("event=store-history-lost"),
+            Step::HistoryLost => {
+                log::info!("event=store-history-lost");
+                self.spread.set(true);
+            }
         }
     }
 
-    fn publish_config(&self, config: &ConfigItem) {
-        if let Err(err) = self.state.publish_config(config) {
-            let revision = config.revision;
-            log::error!("event=config-refused revision={revision} error=\"{err}\"");
+    fn put_config(&self, config: &ConfigItem) {
+        if let Err(err) = self.state.put_config(config) {
+            let position = config.position;
+            log::error!("event=config-refused {position} error=\"{err}\"");
         }
     }
 
-    /// Publishes the registered targets, and logs when the number of odd entries changes.
-    fn publish_targets(&self, registry: Registry, restored: bool) {
+    /// Returns a random pause before the targets are read, so that the gateways of a fleet that lose
+    /// the same call do not read all targets at once.
+    fn spread_time(&self) -> Duration {
+        SPREAD_TIME.mul_f64(fastrand::f64() * f64::from(self.state.gateways()))
+    }
+
+    /// Hands on the registered targets, and logs when the number of odd entries changes.
+    fn put_targets(&self, position: Position, registry: Registry, restored: bool) {
         if self.odd.replace(registry.odd) != registry.odd {
             let (targets, odd) = (registry.targets.len(), registry.odd);
             log::warn!("event=odd-entries odd={odd} targets={targets}");
         }
-        self.state.publish_targets(registry.targets, restored);
+        let mut replica = self.state.replica();
+        replica.put_targets(position, registry.targets, restored);
     }
 
-    /// Records that the changes up to a revision were published.
-    fn advance(&self, revision: Revision) {
-        let begun = self.read_begun.get();
-        self.state.advance(self.clock.now(), revision, begun);
+    /// Records that the changes up to a position were handed on.
+    fn advance(&self, position: Position) {
+        let (now, begun) = (self.clock.now(), self.read_begun.get());
+        self.state.replica().advance(now, position, begun);
     }
 
     /// Records whether the last call of the watch succeeded, and returns what it was before.
@@ -224,13 +246,13 @@
 
     /// Records that a read has succeeded. Returns whether it is the first one after an outage in
     /// which entries may have lapsed.
-    fn regain(&self, revision: Revision) -> bool {
+    fn regain(&self, position: Position) -> bool {
         let begun = self.read_begun.get();
         let lost = self.set_connected(true) == Some(false);
         let outage = begun.saturating_sub(self.last_success.replace(begun));
         if lost {
             let away_ms = outage.as_millis();
-            log::info!("event=store-regained revision={revision} away_ms={away_ms}");
+            log::info!("event=store-regained {position} away_ms={away_ms}");
         }
         lost && outage >= MIN_LAPSE_OUTAGE
     }
@@ -266,7 +288,7 @@
             let age = self.rules_age().unwrap_or_default();
             let left = limit.saturating_sub(age);
             sleep(left.clamp(MIN_CHECK_INTERVAL, MAX_CHECK_INTERVAL)).await;
-            if self.state.freshness().take_overdue(self.clock.now()) {
+            if self.state.replica().take_overdue(self.clock.now()) {
                 self.cancel_cause.set(Some(CancelCause::Late));
             }
             // While the store is unreachable, `watch` retries and reads it whole.
@@ -277,9 +299,10 @@
             let begun = self.clock.now();
             match store.read_config().await {
                 Ok((config, newest)) => {
-                    self.publish_config(&config);
+                    self.put_config(&config);
                     self.last_success.set(begun);
-                    self.state.observe_newest(self.clock.now(), newest, begun);
+                    let now = self.clock.now();
+                    self.state.replica().observe_newest(now, newest, begun);
                 }
                 Err(err) => {
                     log::warn!("event=confirm-failed error=\"{err}\"");
@@ -293,7 +316,7 @@
     /// Returns the time since the rules were last confirmed to be the newest, or `None` if they
     /// never were.
     fn rules_age(&self) -> Option<Duration> {
-        let confirmed = self.state.freshness().confirmed();
+        let confirmed = self.state.replica().confirmed();
         confirmed.map(|(_, at)| self.clock.now().saturating_sub(at))
     }
 }
--- a/src/wire/beacon.rs
+++ b/src/wire/beacon.rs
@@ -4,8 +4,11 @@
 use crate::{
     feed::DrainNotice,
     ids::{
+        Generation,
         Incarnation,
-        Revision, //
+        Position,
+        Revision,
+        Target, //
     },
     mesh::{
         MemberUpdate,
@@ -31,7 +34,8 @@
         pub age: u32,
     }
 
-    /// The newest revision of the store, as confirmed at some time.
+    /// A revision of the store without its era, which processes of earlier builds confirm to each
+    /// other.
     #[derive(Copy)]
     pub struct NewestRevision {
         /// The revision.
@@ -40,6 +44,45 @@
         pub age: u32,
     }
 
+    /// The newest position of the store, as confirmed at some time.
+    #[derive(Copy)]
+    pub struct NewestPosition {
+        /// The position.
+        pub position: Position,
+        /// The time since it was confirmed to be the newest, in milliseconds, rounded up.
+        pub age: u32,
+    }
+
+    /// The rules in force at a router.
+    #[derive(Copy)]
+    pub struct RulesMark {
+        /// The position of the store at which they were last changed.
+        pub position: Position,
+        /// Their generation.
+        pub generation: Generation,
+    }
+
+    /// The entry of a target in an older copy of the registry, although the target had left.
+    #[derive(Copy)]
+    pub struct HeldEntry {
+        /// The target.
+        pub target: Target,
+        /// The revision of the entry.
+        pub revision: Revision,
+    }
+
+    /// What a router knows of the store.
+    #[derive(Default)]
+    pub struct StoreMark {
+        /// The position up to which it has the store's changes, if that was confirmed to be the newest
+        /// at some time.
+        pub newest: Option<NewestPosition>,
+        /// The rules in force, if there are any.
+        pub rules: Option<RulesMark>,
+        /// Some of the entries that it holds back.
+        pub held: Vec<HeldEntry>,
+    }
+
     /// A gossip datagram: membership updates and, in most datagrams, aggregates of the loads at
     /// targets and of the usage of accounts.
     #[derive(Default)]
@@ -59,8 +102,8 @@
         pub updates: Vec<MemberUpdate>,
         /// The latest datagrams that the sender has received from the recipients of this one.
         pub echoes: Vec<Echo>,
-        /// The revision up to which the sender has the store's changes, if it was confirmed to be
-        /// the newest at some time.
+        /// What a process of an earlier build confirms. A revision without its era confirms nothing, so
+        /// it is neither sent nor read.
         pub newest: Option<NewestRevision>,
         /// The targets that have recently announced that they are leaving.
         pub drains: Vec<DrainNotice>,
@@ -76,6 +119,9 @@
         /// value of its own, which processes that don't know it leave unread.
         #[serde(skip)]
         pub parts: Vec<PartReport>,
+        /// What the sender knows of the store, which follows in the same way.
+        #[serde(skip)]
+        pub store: StoreMark,
     }
 }
 
@@ -87,7 +133,8 @@
     /// Fails only if memory for the bytes cannot be allocated.
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
         let bytes = postcard::to_stdvec(self)?;
-        Ok(postcard::to_extend(&self.parts, bytes)?)
+        let bytes = postcard::to_extend(&self.parts, bytes)?;
+        Ok(postcard::to_extend(&self.store, bytes)?)
     }
 
     /// Decodes a datagram.
@@ -97,8 +144,13 @@
     /// Fails if the bytes do not encode a gossip datagram.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
         let (mut beacon, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if rest.is_empty() {
+            return Ok(beacon);
+        }
+        let (parts, rest) = postcard::take_from_bytes(rest)?;
+        beacon.parts = parts;
         if !rest.is_empty() {
-            beacon.parts = postcard::from_bytes(rest)?;
+            beacon.store = postcard::from_bytes(rest)?;
         }
         Ok(beacon)
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,7 +7,11 @@
 pub use beacon::{
     Beacon,
     Echo,
-    NewestRevision, //
+    HeldEntry,
+    NewestPosition,
+    NewestRevision,
+    RulesMark,
+    StoreMark, //
 };
 pub use codec::{
     Decoder,
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
-use redwingyard::feed::{
-    Change,
-    Feed,
-    Listing,
-    RESTORE_GRACE, //
+use redwingyard::{
+    feed::{
+        Change,
+        Feed,
+        HELD_TIME,
+        Listing,
+        RESTORE_GRACE, //
+    },
+    ids::id, //
 };
 use rstest::rstest;
 
@@ -113,3 +117,82 @@
     feed.update(Duration::from_secs(2), vec![restarted("a")], false);
     assert_eq!(feed.serving().count(), 1);
 }
+
+/// An entry of a target at a revision.
+fn written(name: &str, revision: u64) -> Listing {
+    Listing {
+        revision,
+        ..listing(name)
+    }
+}
+
+/// A list that is read at some time after the registry has come back from a copy of revision 10, in
+/// which the target `a` is again that had left.
+struct Returned {
+    entry: Listing,
+    /// Whether the target had announced that it drains before it left.
+    drained: bool,
+    /// How long after the return the list is read.
+    after: Duration,
+    serving: usize,
+}
+
+#[rstest]
+#[case::entry_of_the_copy(Returned { entry: written("a", 8), drained: false, after: Duration::ZERO, serving: 0 })]
+#[case::written_since(Returned { entry: written("a", 11), drained: false, after: Duration::ZERO, serving: 1 })]
+#[case::started_since(Returned { entry: Listing { born: 20, ..written("a", 8) }, drained: false, after: Duration::ZERO, serving: 1 })]
+#[case::still_there(Returned { entry: written("a", 8), drained: false, after: HELD_TIME, serving: 1 })]
+#[case::drained_and_still_there(Returned { entry: written("a", 8), drained: true, after: HELD_TIME, serving: 0 })]
+#[case::drained_and_written_since(Returned { entry: written("a", 11), drained: true, after: Duration::ZERO, serving: 0 })]
+fn a_target_that_left_does_not_come_back_by_an_old_copy(#[case] case: Returned) {
+    let at = Duration::from_secs;
+    let mut feed = Feed::default();
+    feed.update(at(0), vec![written("a", 8)], false);
+    if case.drained {
+        feed.update(
+            at(1),
+            vec![Listing {
+                draining: true,
+                ..written("a", 9)
+            }],
+            false,
+        );
+    }
+    feed.update(at(2), vec![], false);
+    feed.return_to(at(3), 10);
+    feed.update(at(3), vec![written("a", 8)], true);
+    assert_eq!(feed.serving().count(), 0);
+    assert_eq!(feed.held().count(), 1);
+    let now = at(3) + case.after;
+    feed.expire(now);
+    feed.update(now, vec![case.entry], false);
+    assert_eq!(feed.serving().count(), case.serving);
+}
+
+#[test]
+fn an_entry_that_another_router_holds_back_gets_no_requests() {
+    let mut feed = Feed::default();
+    feed.update(
+        Duration::ZERO,
+        vec![written("a", 8), written("b", 12)],
+        false,
+    );
+    let target = id("a");
+    // Another entry of the same target has been read here.
+    assert_eq!(feed.hold_entry(Duration::ZERO, target, 7), None);
+    assert_eq!(feed.serving().count(), 2);
+    let held = feed.hold_entry(Duration::ZERO, target, 8);
+    assert_eq!(held, Some(Change::Held("a".to_owned())));
+    feed.update(
+        Duration::ZERO,
+        vec![written("a", 8), written("b", 12)],
+        false,
+    );
+    assert_eq!(feed.serving().count(), 1);
+    feed.update(
+        Duration::ZERO,
+        vec![written("a", 13), written("b", 12)],
+        false,
+    );
+    assert_eq!(feed.serving().count(), 2);
+}
--- a/tests/lost_rules.rs
+++ b/tests/lost_rules.rs
@@ -98,7 +98,6 @@
 
 /// The store comes back from a copy and gives the revisions that it has lost to other changes.
 #[test]
-#[ignore = "KNOWN-RED"]
 fn rules_under_a_revision_that_is_given_out_again_come_into_force() {
     let net = Net::start(1);
     let copy = net.0.items.copy();
--- /dev/null
+++ b/tests/store_returns.rs
@@ -0,0 +1,288 @@
+//! Gateways whose store comes back from a copy some seconds old: what it had acknowledged since then
+//! is gone, and its revisions are given out again.
+
+mod net;
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use compio::runtime::Runtime;
+use net::{
+    HOST,
+    ID,
+    KEY,
+    Net,
+    config,
+    eventually, //
+};
+use rstest::rstest;
+use serde_json::{
+    Value,
+    json, //
+};
+use standin::{
+    client::Client,
+    fleet, //
+};
+
+/// The time after the return in which what was known before must hold: shorter than the time for
+/// which missing targets are kept.
+const HOLD_TIME: Duration = Duration::from_millis(1_500);
+
+/// The pause between two requests.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Returns the status of a request to an address, or `None` if there is no answer.
+fn status_at(address: SocketAddr, path: &str) -> Option<u16> {
+    let runtime = Runtime::new().expect("a runtime starts");
+    let answer = runtime.block_on(Client::new(address).send("GET", path, &[HOST, KEY, ID], ""));
+    answer.map(|answer| answer.status)
+}
+
+/// Returns whether all gateways answer a request with a status.
+fn all_answer(net: &Net, path: &str, status: u16) -> bool {
+    let gateways = net.0.gateways.iter();
+    let mut statuses = gateways.map(|gateway| status_at(gateway.addresses.http, path));
+    statuses.all(|actual| actual == Some(status))
+}
+
+/// Returns configuration 2, in which another route is added.
+fn config_with_route() -> Value {
+    let mut config = config(2, &["secret"]);
+    let mut route = config["routes"][0].clone();
+    route["name"] = json!("added");
+    route["prefix"] = json!("/added/");
+    let routes = config["routes"].as_array_mut().expect("routes are a list");
+    routes.push(route);
+    config
+}
+
+/// Returns configuration 2, in which a route is dropped.
+fn config_without_route() -> Value {
+    let mut config = config(2, &["secret"]);
+    let routes = config["routes"].as_array_mut().expect("routes are a list");
+    routes.retain(|route| route["name"] != "save");
+    config
+}
+
+struct Return {
+    /// What the store acknowledges, and then loses if the copy was made before it.
+    change: fn(&Net),
+    /// The path of the request that shows the change, and its status afterwards.
+    path: &'static str,
+    status: u16,
+    /// What is written after the return, in time.
+    again: fn(&Net),
+    /// The status of the request then.
+    then: u16,
+}
+
+fn put_config(net: &Net, config: &Value) {
+    net.0.items.put("op/config", config);
+}
+
+const REVOKED_KEY: Return = Return {
+    change: |net| net.configure(2, &["other"]),
+    path: "/read/1",
+    status: 401,
+    again: |net| net.configure(3, &["secret"]),
+    then: 200,
+};
+
+const ADDED_ROUTE: Return = Return {
+    change: |net| put_config(net, &config_with_route()),
+    path: "/added/1",
+    status: 200,
+    again: |net| put_config(net, &config_with_route()),
+    then: 200,
+};
+
+const DROPPED_ROUTE: Return = Return {
+    change: |net| put_config(net, &config_without_route()),
+    path: "/save/1",
+    status: 404,
+    again: |net| net.configure(3, &["secret"]),
+    then: 200,
+};
+
+/// Both targets are removed, and one is written again.
+const TARGETS_LEFT: Return = Return {
+    change: |net| {
+        net.0.items.remove("servers/i-1");
+        net.0.items.remove("servers/i-2");
+    },
+    path: "/read/1",
+    status: 503,
+    again: |net| net.register("i-1", 0, "ready"),
+    then: 200,
+};
+
+/// Both targets drain, and one starts again under its name.
+const TARGETS_DRAIN: Return = Return {
+    change: |net| {
+        net.register("i-1", 0, "draining");
+        net.register("i-2", 1, "draining");
+    },
+    path: "/read/1",
+    status: 503,
+    again: |net| {
+        let entry = json!({
+            "service": "web", "address": net.0.addresses[0], "zone": "domain-a", "slots": 4,
+            "state": "ready", "sequence": 1, "born": 2,
+        });
+        net.0.items.put("servers/i-1", &entry);
+    },
+    then: 200,
+};
+
+/// One target takes the place of both.
+const TARGET_CAME: Return = Return {
+    change: |net| {
+        let entry = json!({
+            "service": "web", "address": net.0.addresses[0], "zone": "domain-a", "slots": 4,
+            "state": "ready", "sequence": 1, "born": 2,
+        });
+        net.0.items.put("servers/i-1", &entry);
+        net.0.items.remove("servers/i-2");
+    },
+    path: "/read/1",
+    status: 200,
+    again: |net| net.register("i-2", 1, "ready"),
+    then: 200,
+};
+
+#[rstest]
+fn what_was_acknowledged_holds_after_a_return(
+    #[values(1, 3, 8)] gateways: u8,
+    #[values(true, false)] is_lost: bool,
+    #[values(
+        REVOKED_KEY,
+        ADDED_ROUTE,
+        DROPPED_ROUTE,
+        TARGETS_LEFT,
+        TARGETS_DRAIN,
+        TARGET_CAME
+    )]
+    case: Return,
+) {
+    let net = Net::start(gateways);
+    let before = net.0.items.copy();
+    (case.change)(&net);
+    eventually("the change is known", || {
+        all_answer(&net, case.path, case.status)
+    });
+    let after = net.0.items.copy();
+    // Later changes of other keys are lost with it.
+    net.0.items.put("other", &json!(1));
+    net.0.items.put("other", &json!(2));
+    net.0.items.restore(if is_lost { before } else { after });
+    let returned = Instant::now();
+    while returned.elapsed() < HOLD_TIME {
+        assert!(
+            all_answer(&net, case.path, case.status),
+            "{:?} after the return",
+            returned.elapsed()
+        );
+        thread::sleep(PAUSE);
+    }
+    (case.again)(&net);
+    eventually("what is written after the return is known", || {
+        all_answer(&net, case.path, case.then)
+    });
+}
+
+/// A target whose entry the copy lacks is kept until it has had time to write it again.
+#[rstest]
+fn a_target_that_the_copy_lacks_is_gone_if_it_does_not_come_back(#[values(1, 3)] gateways: u8) {
+    let net = Net::start(gateways);
+    for name in ["servers/i-1", "servers/i-2"] {
+        net.0.items.remove(name);
+    }
+    eventually("no target is left", || all_answer(&net, "/read/1", 503));
+    let copy = net.0.items.copy();
+    net.register("i-1", 0, "ready");
+    eventually("the target is used", || all_answer(&net, "/read/1", 200));
+    net.0.items.restore(copy);
+    let returned = Instant::now();
+    while returned.elapsed() < HOLD_TIME {
+        assert!(all_answer(&net, "/read/1", 200));
+        thread::sleep(PAUSE);
+    }
+    eventually("the target is gone", || all_answer(&net, "/read/1", 503));
+    net.register("i-1", 0, "ready");
+    eventually("the target is used again", || {
+        all_answer(&net, "/read/1", 200)
+    });
+}
+
+/// A gateway that starts after the return reads a key from the copy that its peers know to be
+/// revoked.
+#[rstest]
+fn a_gateway_that_starts_after_the_return_learns_from_its_peers(#[values(1, 3)] gateways: u8) {
+    let settings = RefCell::new(None);
+    let net = Net::start_with(gateways, |all| {
+        settings.replace(Some(all.clone()));
+    });
+    let mut settings = settings.take().expect("the region has started a gateway");
+    let copy = net.0.items.copy();
+    net.configure(2, &["other"]);
+    eventually("the key is refused", || all_answer(&net, "/read/1", 401));
+    net.0.items.restore(copy);
+    settings.name = "gateway-9".to_owned();
+    settings.peer.set_ip([127, 0, 0, 9].into());
+    let late = fleet::gateway(settings);
+    let started = Instant::now();
+    while started.elapsed() < HOLD_TIME {
+        let status = status_at(late.addresses.http, "/read/1");
+        assert_ne!(status, Some(200), "{:?} after the start", started.elapsed());
+        thread::sleep(PAUSE);
+    }
+    net.configure(2, &["other"]);
+    eventually("the key is refused by the new gateway", || {
+        status_at(late.addresses.http, "/read/1") == Some(401)
+    });
+}
+
+/// Several returns in a row, with a change of the configuration before each.
+#[rstest]
+fn changes_between_several_returns_are_in_force(#[values(1, 3)] gateways: u8) {
+    let net = Net::start(gateways);
+    for version in [2, 4, 6, 8] {
+        let copy = net.0.items.copy();
+        net.configure(version, &["other"]);
+        eventually("the key is refused", || all_answer(&net, "/read/1", 401));
+        net.0.items.restore(copy);
+        net.configure(version + 1, &["secret"]);
+        eventually("the key is valid again", || {
+            all_answer(&net, "/read/1", 200)
+        });
+    }
+}
+
+/// The store is away before it comes back from a copy, and a change is written while gateways still
+/// wait for it.
+#[rstest]
+fn a_change_written_as_the_store_comes_back_is_in_force(#[values(1, 3)] gateways: u8) {
+    let net = Net::start(gateways);
+    let copy = net.0.items.copy();
+    net.configure(2, &["secret"]);
+    net.configure(3, &["secret"]);
+    eventually("generation 3 is in force", || {
+        (0..usize::from(gateways)).all(|i| net.status(i)["generation"] == 3)
+    });
+    net.0.items.set_down(true);
+    thread::sleep(Duration::from_millis(500));
+    net.0.items.restore(copy);
+    net.configure(4, &["other"]);
+    net.0.items.set_down(false);
+    eventually("the key is refused", || all_answer(&net, "/read/1", 401));
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,14 +1,21 @@
 //! The message codec with frames split at any position, corrupted frames and refused frames.
 
-use redwingyard::wire::{
-    AttemptId,
-    Decoder,
-    Error,
-    MAX_FRAME,
-    Message,
-    PROTOCOL_VERSION,
-    Reason,
-    encode, //
+use redwingyard::{
+    ids::Position,
+    pool::PartReport,
+    wire::{
+        AttemptId,
+        Beacon,
+        Decoder,
+        Error,
+        MAX_FRAME,
+        Message,
+        PROTOCOL_VERSION,
+        Reason,
+        RulesMark,
+        StoreMark,
+        encode, //
+    }, //
 };
 use rstest::rstest;
 
@@ -91,3 +98,40 @@
     let err: Error = decoder.next_message().expect_err("the frame is refused");
     assert_eq!(err.to_string(), case.error);
 }
+
+/// Processes of the builds before it read neither what follows the parts of a datagram, nor a revision
+/// without its era, and take no harm from what follows.
+#[test]
+fn earlier_builds_read_a_datagram_with_what_they_do_not_know() {
+    let rules = RulesMark {
+        position: Position::new(2, 15),
+        generation: 7,
+    };
+    let beacon = Beacon {
+        sequence: 3,
+        store: StoreMark {
+            rules: Some(rules),
+            ..StoreMark::default()
+        },
+        ..Beacon::default()
+    };
+    let bytes = beacon.encode().expect("the datagram is encoded");
+    assert_eq!(Beacon::decode(&bytes).expect("it is decoded"), beacon);
+    // What an earlier build sends ends after the parts, or before them.
+    let plain = Beacon {
+        sequence: 3,
+        ..Beacon::default()
+    };
+    let known = postcard::to_stdvec(&plain).expect("the fields are encoded");
+    assert!(bytes.starts_with(&known));
+    for rest in [vec![], vec![0]] {
+        let earlier = [known.clone(), rest].concat();
+        assert_eq!(Beacon::decode(&earlier).expect("it is decoded"), plain);
+    }
+    // What it reads of this datagram: the fields, and the parts without what follows them.
+    let (fields, rest) =
+        postcard::take_from_bytes::<Beacon>(&bytes).expect("the fields are decoded");
+    assert_eq!((fields.sequence, fields.newest), (3, None));
+    let parts: Vec<PartReport> = postcard::from_bytes(rest).expect("the parts are decoded");
+    assert!(parts.is_empty());
+}
