Remove ended connections from the lists of a gateway in steps

Each accepted connection walked the lists of all open ones, which a flooded gateway of 0.09 cores with some 2,500 connections pays for each new one. The lists are searched when they have doubled: 20,000 connections of which 5,000 stay open need at most 80,000 checks, as a test counts; the walk would need some 87 million (worked out). Tests of stops and closes pass.

Deadlines are no longer cut to the end of a stop: a request is refused if its route usually takes longer than what is left, and what has not ended then is ended by the stop. The cut deadline also counted for the refusal of requests that were read late: once, beside load, tests/closes.rs last_callers got 503 for a request that lay unread for 0.6 s in a stop (40 of 40 pass without it).

--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -146,7 +146,6 @@
     }
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
-    let deadline = process.stop_end().map_or(deadline, |end| deadline.min(end));
     let max_bytes = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY as u64);
     let left = deadline.saturating_sub(process.clock.now());
     let limit = left.max(MIN_BODY_TIME);
@@ -155,7 +154,6 @@
     if !process.can_finish(route) {
         return Err(refuse_stopping(process, &envelope));
     }
-    let deadline = process.stop_end().map_or(deadline, |end| deadline.min(end));
     let spec = RequestSpec {
         account: account.as_deref().map_or(0, crate::ids::id),
         service: route.service(fastrand::u64(..)),
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -75,6 +75,7 @@
             connection_limit,
             set_connection_close, //
         },
+        open_list::OpenList,
         presence::{
             CallerGone,
             Presence, //
@@ -125,9 +126,9 @@
     /// Whether accepting has ended.
     closed: Cell<bool>,
     /// Tells each connection to shut down gracefully.
-    shutdowns: RefCell<Vec<oneshot::Sender<()>>>,
+    shutdowns: RefCell<OpenList<oneshot::Sender<()>>>,
     /// The requests of the connections that are open.
-    exchanges: RefCell<Vec<Weak<Exchange>>>,
+    exchanges: RefCell<OpenList<Weak<Exchange>>>,
 }
 
 impl CallerConnections {
@@ -145,8 +146,7 @@
     fn shutdown_signal(&self) -> oneshot::Receiver<()> {
         let (shutdown, shutdown_signal) = oneshot::channel();
         let mut shutdowns = self.shutdowns.borrow_mut();
-        shutdowns.retain(|shutdown| !shutdown.is_canceled());
-        shutdowns.push(shutdown);
+        shutdowns.push(shutdown, |shutdown| !shutdown.is_canceled());
         shutdown_signal
     }
 
@@ -154,8 +154,7 @@
     fn track_exchange(&self) -> Rc<Exchange> {
         let exchange = Rc::default();
         let mut exchanges = self.exchanges.borrow_mut();
-        exchanges.retain(|open| open.strong_count() > 0);
-        exchanges.push(Rc::downgrade(&exchange));
+        exchanges.push(Rc::downgrade(&exchange), |open| open.strong_count() > 0);
         exchange
     }
 
@@ -175,7 +174,7 @@
 
     /// Closes idle connections at once, and the others after their current request.
     fn start_shutdown(&self) {
-        for shutdown in self.shutdowns.borrow_mut().drain(..) {
+        for shutdown in self.shutdowns.borrow_mut().take() {
             // Fails only if the connection has closed already.
             let _ = shutdown.send(());
         }
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod logs;
 mod memory;
+mod open_list;
 mod platform;
 mod presence;
 mod problem;
