--- a/tests/store_returns.rs
+++ b/tests/store_returns.rs
@@ -252,6 +252,38 @@
     });
 }
 
+/// A gateway that starts after the return reads entries from the copy whose targets had left, as its
+/// peers know.
+#[rstest]
+fn a_gateway_that_starts_after_the_return_holds_back_what_had_left(#[values(1, 3)] gateways: u8) {
+    let settings = RefCell::new(None);
+    let net = Net::start_with(gateways, |all| {
+        settings.replace(Some(all.clone()));
+    });
+    let mut settings = settings.take().expect("the region has started a gateway");
+    let copy = net.0.items.copy();
+    (TARGETS_LEFT.change)(&net);
+    eventually("no target is left", || all_answer(&net, "/read/1", 503));
+    net.0.items.restore(copy);
+    eventually("the entries are held back", || {
+        let held = |i| net.status(i)["held"].as_array().map(Vec::len) == Some(2);
+        (0..usize::from(gateways)).all(held)
+    });
+    settings.name = "gateway-9".to_owned();
+    settings.peer.set_ip([127, 0, 0, 9].into());
+    let late = fleet::gateway(settings);
+    let started = Instant::now();
+    while started.elapsed() < HOLD_TIME {
+        let status = status_at(late.addresses.http, "/read/1");
+        assert_ne!(status, Some(200), "{:?} after the start", started.elapsed());
+        thread::sleep(PAUSE);
+    }
+    (TARGETS_LEFT.again)(&net);
+    eventually("the target that is back is used", || {
+        status_at(late.addresses.http, "/read/1") == Some(200)
+    });
+}
+
 /// Several returns in a row, with a change of the configuration before each.
 #[rstest]
 fn changes_between_several_returns_are_in_force(#[values(1, 3)] gateways: u8) {
