Believe only answers that name their request

Other operators saw a refusal written once more on a kept connection and taken for that of the next request, which ran twice or was reported as not run. An answer without an id was taken for that of the request unless it reported success, and a request whose id had been sent on a connection before could get the copy of its own refusal there.

So an answer without it is discarded, and a connection whose last request had the same id is not used for the next one.

--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -96,8 +96,7 @@
     NotExecuted,
     /// Another target has taken over the address; it has not run the request.
     Moved,
-    /// The response belongs to another request: its id differs, or it reports success without the
-    /// id that the request has.
+    /// The response belongs to another request, or may do so: it does not have the request's id.
     Mismatched,
 }
 
@@ -229,23 +228,23 @@
 
 /// Classifies a target's response to the request `id` by its status and header fields.
 ///
+/// Targets repeat the id in all their responses, refusals included. A response without it may be one
+/// to an earlier request, written once more.
+///
 /// ```
 /// use hyper::header::{HeaderMap, HeaderValue};
 /// use redwingyard::platform::{ResponseKind, classify_response};
 /// let mut headers = HeaderMap::new();
+/// assert_eq!(classify_response(421, &headers, "7"), ResponseKind::Mismatched);
+/// headers.insert("request-id", HeaderValue::from_static("7"));
 /// assert_eq!(classify_response(421, &headers, "7"), ResponseKind::Moved);
-/// headers.insert("request-id", HeaderValue::from_static("8"));
-/// assert_eq!(classify_response(200, &headers, "7"), ResponseKind::Mismatched);
+/// assert_eq!(classify_response(421, &headers, "8"), ResponseKind::Mismatched);
 /// ```
 pub fn classify_response(status: u16, headers: &HeaderMap, id: &str) -> ResponseKind {
-    let echo = id_echo(headers, id);
-    if echo == IdEcho::Other {
-        return ResponseKind::Mismatched;
-    }
     match status {
+        _ if id_echo(headers, id) != IdEcho::Same => ResponseKind::Mismatched,
         421 => ResponseKind::Moved,
         _ if headers.contains_key(NOT_EXECUTED) => ResponseKind::NotExecuted,
-        200..300 if echo == IdEcho::Missing => ResponseKind::Mismatched,
         _ => ResponseKind::Answer,
     }
 }
--- a/src/shell/dial.rs
+++ b/src/shell/dial.rs
@@ -118,9 +118,14 @@
 pub(super) struct Sender {
     requests: SendRequest<Full<Bytes>>,
     gate: WriteGate,
+    /// The last request that was sent on the connection, where it can be named.
+    last: Option<RequestHash>,
     _hangup: ShutdownGuard,
 }
 
+/// The hash of the id under which a peer knows a request.
+pub(super) type RequestHash = u64;
+
 impl Sender {
     /// Returns the error of a request that was sent on this connection and failed.
     fn error(&self, err: hyper::Error) -> DialError {
@@ -169,22 +174,27 @@
     /// An idle connection that turns out to be closed is replaced, as long as no byte of the
     /// request has been written. `is_wanted` is asked at the moment of the first write.
     ///
+    /// A connection whose last request had the same `hash` is not used: an answer to that one that
+    /// the peer writes once more could not be told from the right one.
+    ///
     /// # Errors
     ///
     /// Fails if the peer can't be reached, the connection fails, or the request is not wanted.
     pub(super) async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
+        hash: Option<RequestHash>,
         is_wanted: impl Fn() -> bool + Clone + 'static,
     ) -> Result<(Response<Incoming>, Sender), DialError> {
         loop {
-            let Some(mut sender) = self.take_idle() else {
-                return self.send_on_new(request, is_wanted).await;
+            let Some(mut sender) = self.take_idle(hash) else {
+                return self.send_on_new(request, hash, is_wanted).await;
             };
             if sender.requests.ready().await.is_err() {
                 continue;
             }
             sender.gate.set(is_wanted.clone());
+            sender.last = hash;
             match sender.requests.try_send_request(request).await {
                 Ok(response) => return Ok((response, sender)),
                 Err(mut err) => match err.take_message() {
@@ -204,10 +214,12 @@
     async fn send_on_new(
         &self,
         request: Request<Full<Bytes>>,
+        hash: Option<RequestHash>,
         is_wanted: impl Fn() -> bool + 'static,
     ) -> Result<(Response<Incoming>, Sender), DialError> {
         let (mut sender, mut connection) = self.connect().await?;
         sender.gate.set(is_wanted);
+        sender.last = hash;
         let response_future = sender.requests.try_send_request(request);
         if poll!(&mut connection).is_pending() {
             spawn(async move {
@@ -223,12 +235,14 @@
     }
 
     /// Takes the idle connection that was used last, so that surplus connections reach their idle
-    /// timeout.
-    fn take_idle(&self) -> Option<Sender> {
+    /// timeout, but none whose last request had the same `hash`.
+    fn take_idle(&self, hash: Option<RequestHash>) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
         idle.retain(|idle| !idle.sender.requests.is_closed() && now < idle.until);
-        idle.pop_back().map(|idle| idle.sender)
+        let is_free = |idle: &Idle| hash.is_none() || idle.sender.last != hash;
+        let at = idle.iter().rposition(is_free)?;
+        idle.remove(at).map(|idle| idle.sender)
     }
 
     /// Returns a connection to the pool once its answer has been read completely.
@@ -279,6 +293,7 @@
         let sender = Sender {
             requests,
             gate,
+            last: None,
             _hangup: hangup,
         };
         Ok((sender, connection))
@@ -412,7 +427,7 @@
         runtime.block_on(async {
             spawn_busy_tasks(&turns);
             let request = Request::new(Full::new(Bytes::new()));
-            let sent = spawn(async move { connections.send(request, || true).await.is_ok() });
+            let sent = spawn(async move { connections.send(request, None, || true).await.is_ok() });
             assert!(sent.await.expect("the sending task ends"));
         });
         let waited = target
@@ -456,13 +471,13 @@
             runtime.block_on(async {
                 let request = || Request::new(Full::new(Bytes::new()));
                 if case.kept {
-                    let sent = connections.send(request(), || true).await;
+                    let sent = connections.send(request(), None, || true).await;
                     let (response, sender) = sent.expect("the request is answered");
                     connections.put_idle(sender, response.headers());
                 }
                 let wanted = Rc::new(Cell::new(true));
                 let condition = wanted.clone();
-                let send = connections.send(request(), move || condition.get());
+                let send = connections.send(request(), None, move || condition.get());
                 let mut send = std::pin::pin!(send);
                 assert!(poll!(send.as_mut()).is_pending());
                 wanted.set(false);
@@ -505,7 +520,7 @@
         runtime.block_on(async {
             let request = Request::new(Full::new(Bytes::new()));
             let (response, sender) = connections
-                .send(request, || true)
+                .send(request, None, || true)
                 .await
                 .expect("an answer begins");
             drop(sender);
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -32,6 +32,7 @@
     body::Incoming,
     http::response, //
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     call::Call,
@@ -138,8 +139,10 @@
         let request = self.target_request(&listing.name, resume);
         let connections = self.process.connections_to(listing.address);
         let opened = {
+            let id = &self.request.id;
+            let hash = (!id.is_empty()).then(|| xxh3_64(id.as_bytes()));
             let is_wanted = move || !presence.is_gone();
-            let open = std::pin::pin!(connections.send(request, is_wanted));
+            let open = std::pin::pin!(connections.send(request, hash, is_wanted));
             match unless_abandoned(open, &mut self.decisions).await {
                 Ok(opened) => opened,
                 Err(result) => return result,
--- a/src/shell/target.rs
+++ b/src/shell/target.rs
@@ -116,7 +116,7 @@
         is_leaving: impl Fn() -> bool,
     ) -> Result<(), CallError> {
         let request = self.request(dispatch)?;
-        let (response, sender) = self.connections.send(request, || true).await?;
+        let (response, sender) = self.connections.send(request, None, || true).await?;
         let (parts, mut body) = response.into_parts();
         let mut progress = start_progress(&parts, &body, false);
         let mut head = Some(Head {
