Keep the targets that lapse while everything is being read

A read of all targets dated an outage by its first call. If the store went away between two of its calls, entries that had lapsed meanwhile were dropped at once, and callers got 503 for targets that live. Each successful call dates the gap before it now, and the longest one counts.

tests/store.rs targets_that_lapse_in_the_middle_of_a_read_are_kept: 503 before, 200 now.

Read again as a newcomer: rules that were never confirmed do not count as recent; a gateway compares its rules with those of others only up to a position that it had read before, which otherwise logged a loss that was none; whether a process closes is derived from the signal that says so; tests share one function that starts a region and returns its settings.

--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -147,11 +147,9 @@
     stop_end: Cell<Option<Time>>,
     /// How long requests take.
     run_times: RefCell<RunTimes>,
-    /// Whether every request that has not ended is ended now.
-    closing: Cell<bool>,
-    /// Dropped when that begins.
+    /// `None` once every request that has not ended is to be ended.
     open: RefCell<Option<oneshot::Sender<()>>>,
-    /// Ends when that begins.
+    /// Ends when `open` is dropped.
     closed: Shared<oneshot::Receiver<()>>,
     /// Whether accepting is paused because there is no room for another connection.
     pub(super) at_capacity: Cell<bool>,
@@ -199,7 +197,6 @@
             store: Arc::default(),
             stop_end: Cell::new(None),
             run_times: RefCell::default(),
-            closing: Cell::new(false),
             open: RefCell::new(Some(open)),
             closed: closed.shared(),
             at_capacity: Cell::new(false),
@@ -285,10 +282,11 @@
     /// everything is read here up to the position at which they were written, the store has lost
     /// them. Returns whether anything has been read here to compare with.
     pub(super) fn compare_rules(&self, other: RulesMark) -> bool {
-        self.apply_updates();
+        // The rules must be at least as new as this position.
         let Some(applied) = self.store.replica().applied() else {
             return false;
         };
+        self.apply_updates();
         if applied < other.position || other.generation <= self.rules().generation() {
             return true;
         }
@@ -350,8 +348,9 @@
             return false;
         }
         match (self.rules_age(), self.settings.apply_limit()) {
+            (_, None) => true,
+            (None, Some(_)) => false,
             (Some(age), Some(limit)) => age < limit,
-            _ => true,
         }
     }
 
@@ -388,7 +387,7 @@
     /// Returns whether a request of a route that is sent now is expected to end before this process
     /// does.
     pub(super) fn can_finish(&self, route: &Route) -> bool {
-        if self.closing.get() {
+        if self.is_closing() {
             return false;
         }
         let Some(end) = self.stop_end.get() else {
@@ -409,7 +408,6 @@
 
     /// Ends every request that has not ended: one that is not at a target is refused.
     pub(super) fn close(&self) {
-        self.closing.set(true);
         self.open.borrow_mut().take();
         for sender in self.decisions.borrow().values() {
             // Fails only if the request's task has ended.
@@ -418,7 +416,7 @@
     }
 
     pub(super) fn is_closing(&self) -> bool {
-        self.closing.get()
+        self.open.borrow().is_none()
     }
 
     /// Waits until every request that has not ended is to be ended.
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -95,8 +95,12 @@
     cancel_cause: Cell<Option<CancelCause>>,
     /// When the last successful call was begun.
     last_success: Cell<Time>,
+    /// When the call of the watch that is under way was begun.
+    call_begun: Cell<Time>,
     /// When the read that is under way was begun.
     read_begun: Cell<Time>,
+    /// The longest time between two successful calls since everything was read last.
+    outage: Cell<Duration>,
     /// Whether other gateways may begin to read everything at the same time as this one.
     spread: Cell<bool>,
     /// The number of entries in the last list of targets that name no target.
@@ -117,7 +121,9 @@
         connected: Cell::new(None),
         cancel_cause: Cell::new(None),
         last_success: Cell::new(Duration::ZERO),
+        call_begun: Cell::new(Duration::ZERO),
         read_begun: Cell::new(Duration::ZERO),
+        outage: Cell::new(Duration::ZERO),
         spread: Cell::new(false),
         odd: Cell::new(0),
     };
@@ -140,8 +146,10 @@
     async fn watch(&self) {
         let mut store = Store::new(self.address);
         loop {
+            let begun = self.clock.now();
+            self.call_begun.set(begun);
             if !store.is_reading() {
-                self.read_begun.set(self.clock.now());
+                self.read_begun.set(begun);
             }
             let read = match store.is_synced() {
                 true => self.unless_cancelled(store.next(WATCH_TIMEOUT)).await,
@@ -170,6 +178,9 @@
 
     /// Hands on what a call has returned.
     async fn take(&self, step: Step) {
+        let begun = self.call_begun.get();
+        let gap = begun.saturating_sub(self.last_success.replace(begun));
+        self.outage.set(self.outage.get().max(gap));
         match step {
             Step::Config(config) => {
                 self.put_config(&config);
@@ -247,9 +258,8 @@
     /// Records that a read has succeeded. Returns whether it is the first one after an outage in
     /// which entries may have lapsed.
     fn regain(&self, position: Position) -> bool {
-        let begun = self.read_begun.get();
         let lost = self.set_connected(true) == Some(false);
-        let outage = begun.saturating_sub(self.last_success.replace(begun));
+        let outage = self.outage.take();
         if lost {
             let away_ms = outage.as_millis();
             log::info!("event=store-regained {position} away_ms={away_ms}");
--- a/tests/late_stops.rs
+++ b/tests/late_stops.rs
@@ -7,7 +7,6 @@
 mod standin;
 
 use std::{
-    cell::RefCell,
     collections::HashSet,
     io::{
         Read,
@@ -200,15 +199,11 @@
 #[case::slow_body_long_write(Kind { name: "slow-body-long", method: "POST", path: "/save/1", tokens: 120_000, body: "abcdef", early: Early::Head, ..SHORT })]
 #[case::slow_body_long_stream(Kind { name: "slow-body-stream", method: "POST", path: "/stream/1", tokens: 120_000, body: "abcdef", early: Early::Head, ..SHORT })]
 fn a_request_that_comes_late_in_a_stop_is_answered_or_refused(#[case] kind: Kind) {
-    let settings = RefCell::new(None);
-    let net = Net::start_with(1, |all| {
-        settings.replace(Some(all.clone()));
-    });
+    let (net, mut settings) = Net::start_with_settings(1);
     net.0.items.put("op/config", &patient_config());
     eventually("the configuration is in force", || {
         net.status(0)["generation"] == 2
     });
-    let mut settings = settings.take().expect("the region has started a gateway");
     settings.stop_s = GRACE.as_secs_f64();
     let mut process = Process::gateway(&settings, &format!("late-{}", kind.name), None);
     let connect = || {
--- a/tests/lost_rules.rs
+++ b/tests/lost_rules.rs
@@ -7,7 +7,6 @@
 mod standin;
 
 use std::{
-    cell::RefCell,
     thread,
     time::{
         Duration,
@@ -86,11 +85,7 @@
 
 #[test]
 fn a_gateway_whose_first_page_of_targets_fails_gets_its_rules() {
-    let settings = RefCell::new(None);
-    let net = Net::start_with(1, |all| {
-        settings.replace(Some(all.clone()));
-    });
-    let settings = settings.take().expect("the region has started a gateway");
+    let (net, settings) = Net::start_with_settings(1);
     net.0.items.fail_next(PAGE, 429, 1);
     // Waits until the process is ready.
     let _process = Process::gateway(&settings, "first-page", None);
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, clippy::allow_attributes, unreachable_pub)]
 
 use std::{
+    cell::RefCell,
     thread,
     time::{
         Duration,
@@ -62,6 +63,17 @@
         Self(Region::start(gateways, "web", targets, &config, change))
     }
 
+    /// Starts some gateways, and returns the settings of the last one, with which another can be
+    /// started.
+    pub fn start_with_settings(gateways: u8) -> (Self, GatewaySettings) {
+        let settings = RefCell::new(None);
+        let net = Self::start_with(gateways, |all| {
+            settings.replace(Some(all.clone()));
+        });
+        let settings = settings.take().expect("the region has started a gateway");
+        (net, settings)
+    }
+
     /// Publishes a version of the configuration with the API keys of the account.
     pub fn configure(&self, version: u64, keys: &[&str]) {
         self.0.items.put("op/config", &config(version, keys));
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -6,7 +6,6 @@
 mod standin;
 
 use std::{
-    cell::RefCell,
     io::{
         self,
         Read,
@@ -128,11 +127,7 @@
 #[case::term_and_hang_ups(Signals { name: "term-hups", kept: true, steps: &[Step::Terminate, Step::HangUps] })]
 #[case::hang_ups_and_term(Signals { name: "hups-term", kept: true, steps: &[Step::HangUps, Step::Terminate] })]
 fn requests_in_progress_survive_a_series_of_signals(#[case] case: Signals) {
-    let settings = RefCell::new(None);
-    let net = Net::start_with(1, |all| {
-        settings.replace(Some(all.clone()));
-    });
-    let settings = settings.take().expect("the region has started a gateway");
+    let (net, settings) = Net::start_with_settings(1);
     let mut process = Process::gateway(&settings, case.name, None);
     let mut caller = connect(&process);
     if case.kept {
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -7,7 +7,6 @@
 mod standin;
 
 use std::{
-    cell::RefCell,
     io::{
         Read,
         Write, //
@@ -154,11 +153,7 @@
 /// failed.
 #[test]
 fn a_gateway_that_was_paused_serves_no_request_by_the_rules_from_before() {
-    let settings = RefCell::new(None);
-    let net = Net::start_with(1, |all| {
-        settings.replace(Some(all.clone()));
-    });
-    let mut settings = settings.take().expect("the region has started a gateway");
+    let (net, mut settings) = Net::start_with_settings(1);
     settings.apply_ms = Some(1_500.0);
     let process = Process::gateway(&settings, "paused", None);
     let pid = Pid::from_raw(process.child.id() as i32).expect("the process has an id");
@@ -241,3 +236,32 @@
     net.0.items.set_down(false);
     eventually("no target is left", || net.get("/read/1").status == 503);
 }
+
+/// The store goes away between two calls with which everything is read. Entries that lapse meanwhile
+/// are kept as after any outage.
+#[test]
+fn targets_that_lapse_in_the_middle_of_a_read_are_kept() {
+    let net = Net::start(1);
+    net.0
+        .items
+        .set_delay("/kv-range", Duration::from_millis(400));
+    net.0.items.set_watches_paused(true);
+    net.configure(2, &["secret"]);
+    net.0.items.compact();
+    net.0.items.set_watches_paused(false);
+    eventually("the configuration is read", || {
+        net.status(0)["generation"] == 2
+    });
+    net.0.items.set_down(true);
+    net.0.items.remove("servers/i-1");
+    net.0.items.remove("servers/i-2");
+    thread::sleep(Duration::from_millis(2_500));
+    net.0.items.set_delay("/kv-range", Duration::ZERO);
+    net.0.items.set_down(false);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(1_000) {
+        assert_eq!(net.get("/read/1").status, 200, "{:?}", started.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    eventually("no target is left", || net.get("/read/1").status == 503);
+}
--- a/tests/store_returns.rs
+++ b/tests/store_returns.rs
@@ -6,7 +6,6 @@
 mod standin;
 
 use std::{
-    cell::RefCell,
     net::SocketAddr,
     thread,
     time::{
@@ -24,6 +23,7 @@
     config,
     eventually, //
 };
+use redwingyard::settings::GatewaySettings;
 use rstest::rstest;
 use serde_json::{
     Value,
@@ -31,7 +31,10 @@
 };
 use standin::{
     client::Client,
-    fleet, //
+    fleet::{
+        self,
+        Handle, //
+    }, //
 };
 
 /// The time after the return in which what was known before must hold: shorter than the time for
@@ -224,19 +227,8 @@
     });
 }
 
-/// A gateway that starts after the return reads a key from the copy that its peers know to be
-/// revoked.
-#[rstest]
-fn a_gateway_that_starts_after_the_return_learns_from_its_peers(#[values(1, 3)] gateways: u8) {
-    let settings = RefCell::new(None);
-    let net = Net::start_with(gateways, |all| {
-        settings.replace(Some(all.clone()));
-    });
-    let mut settings = settings.take().expect("the region has started a gateway");
-    let copy = net.0.items.copy();
-    net.configure(2, &["other"]);
-    eventually("the key is refused", || all_answer(&net, "/read/1", 401));
-    net.0.items.restore(copy);
+/// Starts another gateway with the settings of a region, and checks that it serves nothing at first.
+fn start_late(mut settings: GatewaySettings) -> Handle {
     settings.name = "gateway-9".to_owned();
     settings.peer.set_ip([127, 0, 0, 9].into());
     let late = fleet::gateway(settings);
@@ -246,6 +238,19 @@
         assert_ne!(status, Some(200), "{:?} after the start", started.elapsed());
         thread::sleep(PAUSE);
     }
+    late
+}
+
+/// A gateway that starts after the return reads a key from the copy that its peers know to be
+/// revoked.
+#[rstest]
+fn a_gateway_that_starts_after_the_return_learns_from_its_peers(#[values(1, 3)] gateways: u8) {
+    let (net, settings) = Net::start_with_settings(gateways);
+    let copy = net.0.items.copy();
+    net.configure(2, &["other"]);
+    eventually("the key is refused", || all_answer(&net, "/read/1", 401));
+    net.0.items.restore(copy);
+    let late = start_late(settings);
     net.configure(2, &["other"]);
     eventually("the key is refused by the new gateway", || {
         status_at(late.addresses.http, "/read/1") == Some(401)
@@ -256,11 +261,7 @@
 /// peers know.
 #[rstest]
 fn a_gateway_that_starts_after_the_return_holds_back_what_had_left(#[values(1, 3)] gateways: u8) {
-    let settings = RefCell::new(None);
-    let net = Net::start_with(gateways, |all| {
-        settings.replace(Some(all.clone()));
-    });
-    let mut settings = settings.take().expect("the region has started a gateway");
+    let (net, settings) = Net::start_with_settings(gateways);
     let copy = net.0.items.copy();
     (TARGETS_LEFT.change)(&net);
     eventually("no target is left", || all_answer(&net, "/read/1", 503));
@@ -269,15 +270,7 @@
         let held = |i| net.status(i)["held"].as_array().map(Vec::len) == Some(2);
         (0..usize::from(gateways)).all(held)
     });
-    settings.name = "gateway-9".to_owned();
-    settings.peer.set_ip([127, 0, 0, 9].into());
-    let late = fleet::gateway(settings);
-    let started = Instant::now();
-    while started.elapsed() < HOLD_TIME {
-        let status = status_at(late.addresses.http, "/read/1");
-        assert_ne!(status, Some(200), "{:?} after the start", started.elapsed());
-        thread::sleep(PAUSE);
-    }
+    let late = start_late(settings);
     (TARGETS_LEFT.again)(&net);
     eventually("the target that is back is used", || {
         status_at(late.addresses.http, "/read/1") == Some(200)
