--- a/examples/standin/store.rs
+++ b/examples/standin/store.rs
@@ -189,6 +189,11 @@
         state.history.clear();
     }
 
+    /// Sets the era that answers have, as a stale proxy might.
+    pub fn set_era(&self, era: u64) {
+        self.state().era = era;
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.state().apply(key, None);
--- a/tests/store_returns.rs
+++ b/tests/store_returns.rs
@@ -311,3 +311,23 @@
     net.0.items.set_down(false);
     eventually("the key is refused", || all_answer(&net, "/read/1", 401));
 }
+
+/// Answers of an earlier era are those of a stale proxy or forged, whatever their revision.
+#[test]
+fn answers_of_an_earlier_era_are_ignored() {
+    let net = Net::start(1);
+    let copy = net.0.items.copy();
+    net.0.items.restore(copy);
+    let era = || net.status(0)["store"]["era"] == 1;
+    eventually("the later era is read", era);
+    net.0.items.set_era(0);
+    net.configure(2, &["other"]);
+    let started = Instant::now();
+    while started.elapsed() < HOLD_TIME {
+        assert_eq!(net.status(0)["generation"], 1);
+        thread::sleep(PAUSE);
+    }
+    assert!(era());
+    net.0.items.set_era(1);
+    eventually("the key is refused", || all_answer(&net, "/read/1", 401));
+}
