--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -222,7 +222,8 @@
         let max_connections = process.settings.connections;
         let max_connections = max_connections.unwrap_or_else(|| connection_limit(&process.memory));
         let (address, state) = (process.settings.store, process.store.clone());
-        let store_reader = watch::spawn_reader(address, state, process.clock.clone())?;
+        let (clock, apply_limit) = (process.clock.clone(), process.settings.apply_limit());
+        let store_reader = watch::spawn_reader(address, state, clock, apply_limit)?;
         let callers = Rc::new(CallerConnections::new(
             max_connections,
             process.memory.clone(),
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -66,6 +66,10 @@
 /// The rank beyond which the delay does not grow, so that keys stay trusted.
 const MAX_RANK: u32 = 6;
 
+/// How long before the rules count as overdue the store is asked at the latest: the time that a call
+/// may take.
+const CONFIRM_MARGIN: Duration = Duration::from_millis(600);
+
 /// The longest interval at which [`StoreReader::confirm`] checks whether changes are overdue.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -89,6 +93,8 @@
     address: SocketAddr,
     state: Arc<StoreState>,
     clock: Clock,
+    /// The time within which a change of the rules must be in force, if there is a limit.
+    apply_limit: Option<Duration>,
     /// Whether the last call of the watch succeeded, or `None` before the first one.
     connected: Cell<Option<bool>>,
     /// Set to cancel the watch call that is under way.
@@ -112,12 +118,14 @@
     address: SocketAddr,
     state: Arc<StoreState>,
     clock: Clock,
+    apply_limit: Option<Duration>,
 ) -> io::Result<oneshot::Sender<()>> {
     let (stop, stopped) = oneshot::channel::<()>();
     let reader = StoreReader {
         address,
         state,
         clock,
+        apply_limit,
         connected: Cell::new(None),
         cancel_cause: Cell::new(None),
         last_success: Cell::new(Duration::ZERO),
@@ -288,13 +296,15 @@
         }
     }
 
-    /// Asks the store for its newest revision when the last confirmation of the rules is older than
-    /// [`CONFIRM_AGE`] plus [`RANK_DELAY`] for each rank up to [`MAX_RANK`]. Cancels the watch call
-    /// when changes are overdue or the store does not answer.
+    /// Asks the store for its newest position when the last confirmation of the rules is older than
+    /// [`CONFIRM_AGE`] plus [`RANK_DELAY`] for each rank up to [`MAX_RANK`], or is overdue within
+    /// [`CONFIRM_MARGIN`]. Cancels the watch call when changes are overdue or the store does not answer.
     async fn confirm(&self) {
         let mut store = Store::new(self.address);
         loop {
             let limit = CONFIRM_AGE + RANK_DELAY * self.state.rank().min(MAX_RANK);
+            let latest = self.apply_limit.unwrap_or(Duration::MAX);
+            let limit = limit.min(latest.saturating_sub(CONFIRM_MARGIN));
             let age = self.rules_age().unwrap_or_default();
             let left = limit.saturating_sub(age);
             sleep(left.clamp(MIN_CHECK_INTERVAL, MAX_CHECK_INTERVAL)).await;
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -20,9 +20,11 @@
 };
 
 use child::Process;
+use compio::runtime::Runtime;
 use net::{
     HOST,
     ID,
+    KEY,
     Net,
     eventually, //
 };
@@ -32,7 +34,10 @@
     Signal,
     kill_process, //
 };
-use standin::store::Items;
+use standin::{
+    client::Client,
+    store::Items, //
+};
 
 /// The shortest time in which one of today's deployments requires a change to be in force.
 const APPLY_LIMIT: Duration = Duration::from_millis(2_000);
@@ -181,6 +186,28 @@
     assert_eq!(net.run_count(), before);
 }
 
+/// The gateways that ask the store on behalf of a group are lost. The last one of the group must ask
+/// before its own rules count as overdue.
+#[test]
+fn a_gateway_that_hears_no_other_asks_the_store_in_time() {
+    let mut net = Net::start_with(8, |settings| settings.apply_ms = Some(1_500.0));
+    let last = net.0.gateways[7].addresses.http;
+    eventually("the gateway knows its group", || {
+        net.status(7)["peers"] == 7
+    });
+    for gateway in &mut net.0.gateways[..7] {
+        gateway.kill();
+    }
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(4) {
+        let runtime = Runtime::new().expect("a runtime starts");
+        let sent = runtime.block_on(Client::new(last).send("GET", "/read/1", &[HOST, KEY, ID], ""));
+        let answer = sent.expect("the gateway answers");
+        assert_eq!(answer.status, 200, "{:?}", started.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// The store no longer keeps the events of the targets' removal. It was reachable all the time, so
 /// the targets are removed at once, not kept as entries that may only have lapsed in an outage.
 #[test]
