Use a target that is written before a return of the store is noticed

Callers saw 503 for up to 10 s after a store came back from the newest copy, although a target had written its entry again: the gateway read the era for the first time after that write, took the entry for one of the copy, and held it back.

Cause: an entry counted as old if it was no newer than the first revision of the era that was read. With the newest copy no watch fails, so the return is noticed only at the next confirmation, 1 s and more later; what is written meanwhile lies below that revision.

The feed now knows until when the entry of a target that left may have been written: the removal names its last revision, and a list that was read whole its own. A later entry was written anew.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -120,6 +120,8 @@
 #[derive(Clone, Debug)]
 struct KnownTarget {
     listing: Listing,
+    /// The greatest revision at which its entry may have been written.
+    written: Revision,
     /// Whether it is missing from the list, but kept because of an outage of the registry.
     lapsed: bool,
     /// Whether another target has answered at its address.
@@ -132,6 +134,7 @@
             born: self.listing.born,
             draining: self.listing.draining,
             at: now,
+            written: self.written,
         }
     }
 }
@@ -150,6 +153,8 @@
     copy: Option<OldCopy>,
     /// The entries of targets that have left, which were in that copy.
     held: BTreeMap<Target, Listing>,
+    /// The revision at which the next list was read, if changes before it may have been missed.
+    read: Option<Revision>,
 }
 
 /// The last known state of a target that has left.
@@ -158,6 +163,8 @@
     born: u64,
     draining: bool,
     at: Time,
+    /// The greatest revision at which its entry may have been written before.
+    written: Revision,
 }
 
 /// An older copy of the registry, from which it has come back.
@@ -195,6 +202,16 @@
             listed.insert(id(&listing.name), listing);
         }
         self.held.retain(|target, _| listed.contains_key(target));
+        if let Some(read) = self.read.take() {
+            let missing = |target: &Target| !listed.contains_key(target);
+            let known = self.known.iter_mut();
+            let known = known.map(|(target, known)| (target, &mut known.written));
+            let departed = self.departed.iter_mut();
+            let departed = departed.map(|(target, last)| (target, &mut last.written));
+            for (_, written) in known.chain(departed).filter(|(target, _)| missing(target)) {
+                *written = read.max(*written);
+            }
+        }
         let departed = &mut self.departed;
         self.known.retain(|target, known| {
             if listed.contains_key(target) {
@@ -220,11 +237,29 @@
         changes
     }
 
+    /// Records that the next list was read at a revision, and that changes before it may have been
+    /// missed: an entry that it lacks may have been written until then.
+    pub fn read_at(&mut self, revision: Revision) {
+        self.read = Some(revision);
+    }
+
+    /// Records that the entry of a target was removed, which was last written at a revision.
+    pub fn record_removal(&mut self, target: Target, written: Revision) {
+        if let Some(known) = self.known.get_mut(&target) {
+            known.written = known.written.max(written);
+        }
+        if let Some(departure) = self.departed.get_mut(&target) {
+            departure.written = departure.written.max(written);
+        }
+    }
+
     /// Records that the registry has come back from an older copy, whose first `revision` was read
     /// now. The next list is the first one of that copy.
     ///
     /// What the copy lacks is kept as after an outage. What had left and is in the copy again gets no
-    /// requests until it is written anew, or until [`HELD_TIME`] has passed and it is still there.
+    /// requests until it is written anew, or until [`HELD_TIME`] has passed and it is still there. An
+    /// entry of a later revision than any at which it was written before its target left was written
+    /// anew.
     pub fn return_to(&mut self, now: Time, revision: Revision) {
         let hold_end = now + HELD_TIME;
         self.copy = Some(OldCopy { revision, hold_end });
@@ -233,9 +268,13 @@
     /// Returns whether an entry is that of a target that has left, from an older copy of the registry.
     fn holds(&self, now: Time, target: Target, listing: &Listing) -> bool {
         let is_old = |copy: &OldCopy| listing.revision <= copy.revision && now < copy.hold_end;
-        let departed = self.departed.get(&target).map(|departure| departure.born);
-        let held = self.held.get(&target).map(|listing| listing.born);
-        self.copy.as_ref().is_some_and(is_old) && departed.max(held) >= Some(listing.born)
+        let departed = self.departed.get(&target);
+        let departed = departed.map(|departure| (departure.born, departure.written));
+        let held = self.held.get(&target);
+        let held = held.map(|held| (held.born, held.revision));
+        let has_left = |(born, revision)| born >= listing.born && revision >= listing.revision;
+        self.copy.as_ref().is_some_and(is_old)
+            && (departed.is_some_and(has_left) || held.is_some_and(has_left))
     }
 
     fn hold(&mut self, target: Target, listing: Listing) -> Option<Change> {
@@ -299,6 +338,7 @@
         let Some(known) = self.known.get_mut(&target) else {
             let draining = listing.draining;
             let known = KnownTarget {
+                written: listing.revision,
                 listing,
                 lapsed: false,
                 moved: false,
@@ -310,6 +350,7 @@
             });
         };
         known.lapsed = false;
+        known.written = known.written.max(listing.revision);
         // A delayed heartbeat from an earlier start of the target is ignored.
         if listing.born < known.listing.born {
             return None;
@@ -317,6 +358,7 @@
         if listing.born > known.listing.born {
             *known = KnownTarget {
                 listing,
+                written: known.written,
                 lapsed: false,
                 moved: false,
             };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -38,7 +38,9 @@
     ids::{
         Era,
         Position,
-        Revision, //
+        Revision,
+        Target,
+        id, //
     },
     rules::{
         self,
@@ -182,6 +184,11 @@
     pub targets: Vec<Listing>,
     /// The number of entries that name no target, such as those that another writer has left.
     pub odd: usize,
+    /// Whether all entries were read anew, so that changes before may have been missed.
+    pub whole: bool,
+    /// The entries that were removed since the last list, with the revision at which each was last
+    /// written.
+    pub removed: Vec<(Target, Revision)>,
 }
 
 /// What one call to the store has returned.
@@ -349,7 +356,10 @@
         self.progress = Progress::Synced(revision);
         Ok(Step::Listed {
             position: self.position(revision),
-            targets: self.registry(),
+            targets: Registry {
+                whole: true,
+                ..self.registry()
+            },
         })
     }
 
@@ -371,11 +381,16 @@
         }
         let changes: Changes = serde_json::from_slice(&body)?;
         let mut configs = Vec::new();
+        let mut removed = Vec::new();
         let mut changed = false;
         for event in changes.events {
-            if event.key.starts_with(SERVER_PREFIX) {
+            if let Some(name) = event.key.strip_prefix(SERVER_PREFIX) {
                 let value = event.value.as_deref();
-                changed |= apply_server(&mut self.servers, &event.key, event.revision, value);
+                let last = self.servers.get(&event.key).map(|(written, _)| *written);
+                let applied = apply_server(&mut self.servers, &event.key, event.revision, value);
+                changed |= applied;
+                let left = last.filter(|_| applied && value.is_none());
+                removed.extend(left.map(|written| (id(name), written)));
             } else if event.key == CONFIG_KEY {
                 let position = self.position(event.revision);
                 configs.extend(event.value.map(|value| ConfigItem { position, value }));
@@ -386,7 +401,10 @@
         Ok(Step::Changed {
             position: self.position(revision),
             configs,
-            targets: changed.then(|| self.registry()),
+            targets: changed.then(|| Registry {
+                removed,
+                ..self.registry()
+            }),
         })
     }
 
@@ -444,6 +462,7 @@
         Registry {
             odd: self.servers.len() - targets.len(),
             targets,
+            ..Registry::default()
         }
     }
 
--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -5,8 +5,11 @@
     feed::Listing,
     ids::{
         Position,
+        Revision,
+        Target,
         Time, //
     },
+    platform::Registry,
     rules::Rules, //
 };
 
@@ -15,6 +18,11 @@
 pub struct TargetList {
     /// The targets.
     pub targets: Vec<Listing>,
+    /// The revision at which it was read, if changes before it may have been missed.
+    pub read: Option<Revision>,
+    /// The entries that were removed since the list before it, with the revision at which each was
+    /// last written.
+    pub removed: Vec<(Target, Revision)>,
     /// Whether it is the first one after an outage of the store.
     pub restored: bool,
     /// The position at which it was read, if it is the first one of an era after another one.
@@ -76,12 +84,16 @@
 
     /// Hands on the targets that were read at a position; `restored` says that they are the first
     /// ones after an outage of the store.
-    pub fn put_targets(&mut self, position: Position, targets: Vec<Listing>, restored: bool) {
+    pub fn put_targets(&mut self, position: Position, registry: Registry, restored: bool) {
         let applied = self.freshness.applied();
         let returned = applied.is_some_and(|applied| applied.era < position.era);
         let pending = self.pending.targets.take().unwrap_or_default();
+        let mut removed = pending.removed;
+        removed.extend(registry.removed);
         self.pending.targets = Some(TargetList {
-            targets,
+            targets: registry.targets,
+            read: registry.whole.then_some(position.revision).or(pending.read),
+            removed,
             restored: restored || pending.restored,
             returned: returned.then_some(position).or(pending.returned),
         });
--- a/src/shell/gateway/targets.rs
+++ b/src/shell/gateway/targets.rs
@@ -35,6 +35,12 @@
             if let Some(position) = list.returned {
                 feed.return_to(now, position.revision);
             }
+            for (target, written) in list.removed {
+                feed.record_removal(target, written);
+            }
+            if let Some(revision) = list.read {
+                feed.read_at(revision);
+            }
             feed.update(now, list.targets, restored)
         };
         if let Some(position) = list.returned {
--- a/src/shell/gateway/watch.rs
+++ b/src/shell/gateway/watch.rs
@@ -248,7 +248,7 @@
             log::warn!("event=odd-entries odd={odd} targets={targets}");
         }
         let mut replica = self.state.replica();
-        replica.put_targets(position, registry.targets, restored);
+        replica.put_targets(position, registry, restored);
     }
 
     /// Records that the changes up to a position were handed on.
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -10,7 +10,10 @@
         Listing,
         RESTORE_GRACE, //
     },
-    ids::id, //
+    ids::{
+        Revision,
+        id, //
+    }, //
 };
 use rstest::rstest;
 
@@ -169,6 +172,48 @@
     assert_eq!(feed.serving().count(), case.serving);
 }
 
+/// What was read of a target that had its entry last written at revision 8, and what is read first
+/// after the registry has come back from a copy.
+struct FirstRead {
+    /// The revision at which the removed entry was last written, if the removal was seen.
+    removed: Option<Revision>,
+    /// The revision at which the list without it was read, if changes may have been missed.
+    missing: Option<Revision>,
+    entry: Revision,
+    serving: usize,
+}
+
+#[rstest]
+#[case::last_entry(FirstRead { removed: None, missing: None, entry: 8, serving: 0 })]
+#[case::written_since(FirstRead { removed: None, missing: None, entry: 9, serving: 1 })]
+#[case::removed_entry(FirstRead { removed: Some(10), missing: None, entry: 10, serving: 0 })]
+#[case::written_since_the_removal(FirstRead { removed: Some(10), missing: None, entry: 11, serving: 1 })]
+#[case::unseen_entry(FirstRead { removed: None, missing: Some(10), entry: 10, serving: 0 })]
+#[case::written_since_the_list(FirstRead { removed: None, missing: Some(10), entry: 11, serving: 1 })]
+fn an_entry_that_was_written_before_the_return_was_noticed_counts(
+    #[case] case: FirstRead,
+    #[values(false, true)] missing_before: bool,
+) {
+    let at = Duration::from_secs;
+    let mut feed = Feed::default();
+    feed.read_at(8);
+    feed.update(at(0), vec![written("a", 8)], false);
+    if missing_before {
+        feed.update(at(1), vec![], false);
+    }
+    if let Some(written) = case.removed {
+        feed.record_removal(id("a"), written);
+    }
+    if let Some(revision) = case.missing {
+        feed.read_at(revision);
+    }
+    feed.update(at(1), vec![], false);
+    feed.return_to(at(2), 12);
+    feed.read_at(12);
+    feed.update(at(2), vec![written("a", case.entry)], true);
+    assert_eq!(feed.serving().count(), case.serving);
+}
+
 #[test]
 fn an_entry_that_another_router_holds_back_gets_no_requests() {
     let mut feed = Feed::default();
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -246,7 +246,7 @@
             Step::Config(config) => self.put_config(&config),
             Step::Page | Step::HistoryLost => {}
             Step::Listed { position, targets } => {
-                self.replica.put_targets(position, targets.targets, false);
+                self.replica.put_targets(position, targets, false);
                 self.replica.advance(now, position, self.begun);
             }
             Step::Changed {
@@ -258,7 +258,7 @@
                     self.put_config(config);
                 }
                 if let Some(targets) = targets {
-                    self.replica.put_targets(position, targets.targets, false);
+                    self.replica.put_targets(position, targets, false);
                 }
                 self.replica.advance(now, position, self.begun);
             }
--- a/tests/store_returns.rs
+++ b/tests/store_returns.rs
@@ -203,6 +203,18 @@
     });
 }
 
+/// Targets that had left are written anew before any gateway has noticed the return. The copy is the
+/// newest one, so that no watch fails.
+#[rstest]
+fn a_target_that_is_written_before_the_return_is_noticed_is_used(#[values(1, 3)] gateways: u8) {
+    let net = Net::start(gateways);
+    (TARGETS_LEFT.change)(&net);
+    eventually("no target is left", || all_answer(&net, "/read/1", 503));
+    net.0.items.restore(net.0.items.copy());
+    (TARGETS_LEFT.again)(&net);
+    eventually("the target is used", || all_answer(&net, "/read/1", 200));
+}
+
 /// A target whose entry the copy lacks is kept until it has had time to write it again.
 #[rstest]
 fn a_target_that_the_copy_lacks_is_gone_if_it_does_not_come_back(#[values(1, 3)] gateways: u8) {
