Learn after a restart only from gateways that know of the return

A gateway that was restarted within a second of a return from an older copy served a revoked key 108 ms after the return (8 gateways restarted in turn), and sent to targets that had left 25 to 59 ms after it (3 and 8 gateways).

Cause: a new gateway stopped listening as soon as it had compared its rules with any gateway. That may have been one which had been restarted itself and knew only the copy, or one that had not read the copy yet, so that it had nothing to hold back.

Gateways that may lack rules tell none, and listening ends with a gateway that has read the same era and whose held entries fit into one datagram.

--- a/examples/standin/mod.rs
+++ b/examples/standin/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod engine;
 pub mod fleet;
+pub mod forwarder;
 pub mod gateways;
 pub mod instance;
 pub mod plain;
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -21,7 +21,10 @@
     time::sleep, //
 };
 
-use super::process::Process;
+use super::{
+    process::Process,
+    targets::MAX_HELD_ENTRIES, //
+};
 use crate::{
     ids::{
         Incarnation,
@@ -98,7 +101,7 @@
     last_discovery: Cell<Time>,
     /// Whether sending failed in the last round.
     send_failing: Cell<bool>,
-    /// Whether the rules in force have been compared with those of another gateway.
+    /// Whether another gateway has told what it knows of the era that is read here.
     heard: Cell<bool>,
 }
 
@@ -120,7 +123,7 @@
         }
     }
 
-    /// Returns whether the rules in force have been compared with those of another gateway.
+    /// Returns whether another gateway has told what it knows of the era that is read here.
     pub(super) fn has_heard(&self) -> bool {
         self.heard.get()
     }
@@ -246,24 +249,29 @@
     }
 
     /// Returns what this gateway knows of the store, without what it can confirm to the recipients of
-    /// one datagram only.
+    /// one datagram only. Rules that may be older than those of other gateways are not told.
     fn store_mark(&self) -> StoreMark {
         let rules = self.rules_mark();
+        let is_known = rules.generation > 0 && !self.may_lack_rules();
         StoreMark {
             newest: None,
-            rules: (rules.generation > 0).then_some(rules),
+            rules: is_known.then_some(rules),
             held: self.held_entries(),
         }
     }
 
-    /// Applies what another gateway knows of the store.
+    /// Applies what another gateway knows of the store. Once it has read the era that is read here,
+    /// it has told all that it holds back, unless there is more than one datagram has room for.
     fn merge_store_mark(&self, mark: &StoreMark) {
-        if mark.rules.is_some_and(|rules| self.compare_rules(rules)) {
-            self.peers.heard.set(true);
-        }
         for entry in &mark.held {
             self.hold_entry(*entry);
         }
+        let compared = mark.rules.is_some_and(|rules| self.compare_rules(rules));
+        let era = mark.newest.map(|newest| newest.position.era);
+        let is_read = era >= self.store.replica().applied().map(|applied| applied.era);
+        if compared && is_read && mark.held.len() < MAX_HELD_ENTRIES {
+            self.peers.heard.set(true);
+        }
     }
 
     /// Returns a datagram with the aggregates that this gateway sends in a scope.
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -307,14 +307,19 @@
         (is_recent && is_newer).then_some(generation)
     }
 
-    /// Returns whether other gateways may know of rules that the store has lost, and none has been
-    /// compared with since this process has started.
+    /// Returns whether other gateways may know of what the store has lost, and none has told it since
+    /// this process has started.
     fn is_listening(&self) -> bool {
         let has_returned = self.rules_position.get().era > 0;
         let is_new = self.clock.now() < LISTEN_TIME;
         has_returned && is_new && !self.peers.has_heard() && self.settings.peers().next().is_some()
     }
 
+    /// Returns whether other gateways have, or may have, rules that the store has lost.
+    pub(super) fn may_lack_rules(&self) -> bool {
+        self.missing_generation().is_some() || self.is_listening()
+    }
+
     /// Returns the store's position that has been read here and the last time at which it was
     /// confirmed to be the newest one.
     pub(super) fn confirmed(&self) -> Option<(Position, Time)> {
@@ -331,7 +336,7 @@
     /// Returns whether the rules are fresh enough to trust their keys: a key that was revoked
     /// longer ago than the configured limit is no longer among them.
     pub(super) fn keys_trusted(&self) -> bool {
-        if self.missing_generation().is_some() || self.is_listening() {
+        if self.may_lack_rules() {
             return false;
         }
         match (self.rules_age(), self.settings.trust_limit()) {
--- a/src/shell/gateway/targets.rs
+++ b/src/shell/gateway/targets.rs
@@ -20,7 +20,7 @@
 };
 
 /// The largest number of held entries in a datagram.
-const MAX_HELD_ENTRIES: usize = 64;
+pub(super) const MAX_HELD_ENTRIES: usize = 64;
 
 /// The time for which gossip reports that a target is leaving: many gossip rounds.
 const DRAIN_GOSSIP_TIME: Duration = Duration::from_secs(5);
--- a/tests/store_returns.rs
+++ b/tests/store_returns.rs
@@ -6,6 +6,10 @@
 mod standin;
 
 use std::{
+    cell::{
+        OnceCell,
+        RefCell, //
+    },
     net::SocketAddr,
     thread,
     time::{
@@ -34,7 +38,8 @@
     fleet::{
         self,
         Handle, //
-    }, //
+    },
+    forwarder::Forwarder, //
 };
 
 /// The time after the return in which what was known before must hold: shorter than the time for
@@ -239,6 +244,80 @@
     });
 }
 
+/// What is wrong in the region while the store comes back.
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    /// All gateways but the first one are restarted, one after another.
+    Rolling,
+    /// Every second gateway can't reach the store.
+    StoreCut,
+    /// No gateway knows another one.
+    GossipCut,
+}
+
+/// The copy lacks what was acknowledged. Gateways that hear of the return late, alone, or after a
+/// restart serve nothing by the copy.
+#[rstest]
+fn a_return_brings_nothing_back_in_the_middle_of_other_trouble(
+    #[values(3, 8)] gateways: u8,
+    #[values(Trouble::Rolling, Trouble::StoreCut, Trouble::GossipCut)] trouble: Trouble,
+    #[values(REVOKED_KEY, TARGETS_LEFT)] case: Return,
+) {
+    let forwarder = OnceCell::new();
+    let settings = RefCell::new(Vec::new());
+    let mut net = Net::start_with(gateways, |all| {
+        if trouble == Trouble::GossipCut {
+            all.seeds = vec![all.peer];
+        }
+        let odd = settings.borrow().len() % 2 == 1;
+        if trouble == Trouble::StoreCut && odd {
+            let forwarder = forwarder.get_or_init(|| Forwarder::start(all.store));
+            all.store = forwarder.address;
+        }
+        settings.borrow_mut().push(all.clone());
+    });
+    let set_cut = |cut| {
+        if let Some(forwarder) = forwarder.get() {
+            forwarder.set_cut(cut);
+        }
+    };
+    let copy = net.0.items.copy();
+    (case.change)(&net);
+    eventually("the change is known", || {
+        all_answer(&net, case.path, case.status)
+    });
+    set_cut(true);
+    net.0.items.restore(copy);
+    let returned = Instant::now();
+    let none_serve = |net: &Net| {
+        for (i, gateway) in net.0.gateways.iter().enumerate() {
+            let status = status_at(gateway.addresses.http, case.path);
+            assert_ne!(
+                status,
+                Some(200),
+                "gateway {i}, {:?} after the return",
+                returned.elapsed()
+            );
+        }
+    };
+    if trouble == Trouble::Rolling {
+        for i in 1..usize::from(gateways) {
+            net.0.gateways[i].kill();
+            net.0.gateways[i] = fleet::gateway(settings.borrow()[i].clone());
+            none_serve(&net);
+        }
+    }
+    while returned.elapsed() < HOLD_TIME {
+        none_serve(&net);
+        thread::sleep(PAUSE);
+    }
+    (case.again)(&net);
+    set_cut(false);
+    eventually("what is written after the return is known", || {
+        all_answer(&net, case.path, case.then)
+    });
+}
+
 /// Starts another gateway with the settings of a region, and checks that it serves nothing at first.
 fn start_late(mut settings: GatewaySettings) -> Handle {
     settings.name = "gateway-9".to_owned();
