Keep rules that were not taken yet when an older copy is read

Rules that had been read and not put in force yet were replaced by those of an older copy if the store came back in that moment: 20 ms, longer where the callers' thread is late. A key that the operator had revoked stayed valid then.

The pending rules now stay by the same decision by which those in force stay (replica::replaces). Of the 4 cases of the new test 2 failed before.

--- a/src/replica/copy.rs
+++ b/src/replica/copy.rs
@@ -4,6 +4,7 @@
 use crate::{
     feed::Listing,
     ids::{
+        Generation,
         Position,
         Revision,
         Target,
@@ -38,6 +39,21 @@
     pub targets: Option<TargetList>,
 }
 
+/// Returns whether rules take the place of others, each with the position of its last change: those of
+/// a greater generation do, and those of the same one if the store has come back from an older copy
+/// and they were written since.
+///
+/// ```
+/// use redwingyard::{ids::Position, replica::replaces};
+/// let in_force = (Position::new(0, 9), 4);
+/// assert!(!replaces((Position::new(1, 5), 3), in_force));
+/// assert!(replaces((Position::new(1, 6), 4), in_force));
+/// ```
+pub fn replaces(new: (Position, Generation), old: (Position, Generation)) -> bool {
+    let has_returned = new.0.era > old.0.era;
+    new.1 > old.1 || (new.1 == old.1 && has_returned)
+}
+
 /// What has been read from the store, as one value: it is confirmed only together with the rules and
 /// the targets that were handed on.
 ///
@@ -70,14 +86,22 @@
     /// Hands on the rules of a configuration, unless it or a newer one has been read.
     ///
     /// Without rules, the configuration can't be read. The rules before it stay, and nothing is
-    /// confirmed to be the newest until there is a newer configuration.
+    /// confirmed to be the newest until there is a newer configuration. Rules that were handed on and
+    /// not taken yet stay if they would stay in force; see [`replaces`].
     pub fn put_rules(&mut self, position: Position, rules: Option<Rules>) {
         if !self.lacks_config(position) {
             return;
         }
         self.config = Some(position);
         self.freshness.set_unreadable(rules.is_none());
-        if let Some(rules) = rules {
+        let Some(rules) = rules else {
+            return;
+        };
+        let new = (position, rules.generation());
+        let is_newer = |(old, pending): &(Position, Rules)| {
+            replaces(new, (*old, pending.generation())) //
+        };
+        if self.pending.rules.as_ref().is_none_or(is_newer) {
             self.pending.rules = Some((position, rules));
         }
     }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -11,7 +11,8 @@
 pub use copy::{
     Pending,
     Replica,
-    TargetList, //
+    TargetList,
+    replaces, //
 };
 pub use freshness::{
     Freshness,
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -57,6 +57,7 @@
         Settings,
         part_id, //
     },
+    replica::replaces,
     rules::{
         Limit,
         Route,
@@ -216,14 +217,12 @@
         self.rules.borrow().clone()
     }
 
-    /// Puts rules in force that were last changed at a position, if their generation is newer than the
-    /// one in force. The same generation is put in force again if the store has come back from an
-    /// older copy and it was written otherwise since.
+    /// Puts rules in force that were last changed at a position, if they take the place of those in
+    /// force; see [`replaces`].
     fn apply_rules(&self, position: Position, rules: Rules) {
         let in_force = self.rules();
         let (old, new) = (in_force.generation(), rules.generation());
-        let returned = position.era > self.rules_position.get().era;
-        if new < old || (new == old && !returned) {
+        if !replaces((position, new), (self.rules_position.get(), old)) {
             return log::warn!("event=rules-refused {position} generation={new} in_force={old}");
         }
         self.rules_position.set(position);
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -28,8 +28,13 @@
         Freshness,
         Replica,
         SentTimes, //
+    },
+    rules::{
+        self,
+        Rules, //
     }, //
 };
+use rstest::rstest;
 use serde_json::json;
 use standin::store::{
     self,
@@ -135,6 +140,39 @@
     );
 }
 
+fn rules(generation: u64) -> Rules {
+    rules::from_str(&format!("generation {generation} # kim\n")).expect("the rules are valid")
+}
+
+/// Rules that are read before the ones read first have been taken, each with its position.
+struct Unread {
+    first: (Position, u64),
+    second: (Position, u64),
+    /// The one that is taken.
+    taken: (Position, u64),
+}
+
+const BEFORE: (Position, u64) = (Position::new(0, 9), 4);
+const OF_THE_COPY: (Position, u64) = (Position::new(1, 5), 3);
+const NEWER: (Position, u64) = (Position::new(1, 10), 5);
+const AGAIN: (Position, u64) = (Position::new(1, 10), 4);
+const SAME_ERA: (Position, u64) = (Position::new(0, 12), 4);
+
+#[rstest]
+#[case::copy(Unread { first: BEFORE, second: OF_THE_COPY, taken: BEFORE })]
+#[case::newer(Unread { first: BEFORE, second: NEWER, taken: NEWER })]
+#[case::written_again(Unread { first: BEFORE, second: AGAIN, taken: AGAIN })]
+#[case::same_generation(Unread { first: BEFORE, second: SAME_ERA, taken: BEFORE })]
+fn rules_that_were_not_taken_yet_are_not_lost_to_an_older_copy(#[case] case: Unread) {
+    let mut replica = Replica::default();
+    for (position, generation) in [case.first, case.second] {
+        replica.put_rules(position, Some(rules(generation)));
+    }
+    let pending = replica.take_pending().expect("rules were handed on");
+    let taken = pending.rules.map(|(at, rules)| (at, rules.generation()));
+    assert_eq!(taken, Some(case.taken));
+}
+
 /// How long a step waits for changes.
 const WAIT: Duration = Duration::from_millis(4);
 
