Tell other entries that are held back in each datagram

Of more than 64 held entries the same 64 were told each time, so a gateway that started after a return never heard of the others. Each datagram now begins at a random one. A gateway that has read the copy before an entry was written also does not hold it back on the word of one that read it later (a_new_entry_that_another_router_holds_back_stays_in_use is red without this).

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -288,11 +288,20 @@
         self.held.values()
     }
 
+    /// Returns the entries that are held back, those from a target on first.
+    pub fn held_from(&self, start: Target) -> impl Iterator<Item = &Listing> {
+        let rest = self.held.range(..start);
+        let held = self.held.range(start..).chain(rest);
+        held.map(|(_, listing)| listing)
+    }
+
     /// Holds back the entry of a target that has left, as another router knows: it read the same
     /// `revision` of the entry from an older copy of the registry.
     pub fn hold_entry(&mut self, now: Time, target: Target, revision: Revision) -> Option<Change> {
         let known = self.known.get(&target)?;
-        if known.listing.revision != revision {
+        // An entry that was written after the first revision of the copy that was read here is new.
+        let is_new = self.copy.is_some_and(|copy| revision > copy.revision);
+        if known.listing.revision != revision || is_new {
             return None;
         }
         let known = self.known.remove(&target)?;
--- a/src/shell/gateway/targets.rs
+++ b/src/shell/gateway/targets.rs
@@ -55,14 +55,16 @@
         self.apply_changes(&changes);
     }
 
-    /// Returns some of the entries that are held back because their targets had left.
+    /// Returns some of the entries that are held back because their targets had left: others each
+    /// time, if they are many.
     pub(super) fn held_entries(&self) -> Vec<HeldEntry> {
         let feed = self.feed.borrow();
         let entry = |listing: &Listing| HeldEntry {
             target: id(&listing.name),
             revision: listing.revision,
         };
-        feed.held().take(MAX_HELD_ENTRIES).map(entry).collect()
+        let held = feed.held_from(fastrand::u32(..));
+        held.take(MAX_HELD_ENTRIES).map(entry).collect()
     }
 
     /// Holds back an entry as another gateway does.
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -241,3 +241,34 @@
     );
     assert_eq!(feed.serving().count(), 2);
 }
+
+#[test]
+fn each_entry_that_is_held_back_comes_first_from_some_target_on() {
+    let names = ["a", "b", "c", "d"];
+    let entries: Vec<_> = names.iter().map(|name| written(name, 8)).collect();
+    let mut feed = Feed::default();
+    feed.update(Duration::ZERO, entries, false);
+    for name in names {
+        feed.hold_entry(Duration::ZERO, id(name), 8);
+    }
+    for name in names {
+        let held: Vec<_> = feed
+            .held_from(id(name))
+            .map(|listing| &listing.name)
+            .collect();
+        assert_eq!(held[0], name);
+        assert_eq!(held.len(), names.len());
+    }
+}
+
+/// A router that has read the copy late takes a new entry for one of the copy.
+#[test]
+fn a_new_entry_that_another_router_holds_back_stays_in_use() {
+    let mut feed = Feed::default();
+    feed.return_to(Duration::ZERO, 12);
+    let entries = vec![written("a", 8), written("b", 13)];
+    feed.update(Duration::ZERO, entries, true);
+    assert_eq!(feed.hold_entry(Duration::ZERO, id("b"), 13), None);
+    let held = feed.hold_entry(Duration::ZERO, id("a"), 8);
+    assert_eq!(held, Some(Change::Held("a".to_owned())));
+}
