--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -32,6 +32,7 @@
         Source, //
     },
     pool::{
+        Ledger,
         Load,
         Output,
         Pool,
@@ -530,3 +531,25 @@
     }
     assert!(starved.is_empty(), "starved: {starved:?}");
 }
+
+/// The usage of accounts and the stated throughput, which is no limit where more is served.
+struct Share {
+    /// What is served to two accounts that request much.
+    served: [u64; 2],
+    share: u64,
+}
+
+#[rstest]
+#[case::less_than_stated(Share { served: [100, 100], share: 250 })]
+#[case::more_than_stated(Share { served: [1_000, 500], share: 700 })]
+fn the_fair_share_is_that_of_what_is_served(#[case] case: Share) {
+    let mut ledger = Ledger::default();
+    ledger.record_refusal(Duration::ZERO, 9);
+    for (account, demand) in [(1, 100), (2, 9_000), (3, 9_000)] {
+        ledger.add_demand(Duration::ZERO, account, demand);
+    }
+    for (account, served) in [2, 3].into_iter().zip(case.served) {
+        ledger.charge(Duration::ZERO, account, served);
+    }
+    assert_eq!(ledger.fair_share(Duration::ZERO, 400), case.share);
+}
