Hold reported usage between two reports

Cause: the usage of accounts is a sum that decays with 1.5 s. What other gateways had reported went on to decay until their next report, which comes up to 0.6 s later and in three steps for the whole fleet, although as much was served meanwhile as had decayed. An account that is served at many gateways seemed to have had less than one that is served at one.

A reported sum now stays as it is for 1 s, and decays only if no further report comes.

Tests: reported_usage_counts_as_much_as_own_usage, red before.

--- a/src/pool/ledger.rs
+++ b/src/pool/ledger.rs
@@ -30,6 +30,10 @@
 /// preferred to others for about this time.
 const DECAY_TIME: Duration = Duration::from_millis(1_500);
 
+/// The time for which a reported sum stays as it is: several rounds of the exchange. An account that is
+/// served as before gets as much as decays, so the sum decays only if no further report comes.
+const REPORT_TTL: Duration = Duration::from_millis(1_000);
+
 /// The time for which a refusal shows that an account still has unmet demand.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(3);
 
@@ -45,6 +49,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct DecayingSum {
     usage: f64,
+    /// The time from which on it decays.
     updated: Time,
 }
 
@@ -101,7 +106,7 @@
     /// ledger.record_refusal(Duration::ZERO, 8);
     /// ledger.charge(Duration::ZERO, 7, 30);
     /// assert_eq!(ledger.usage(Duration::ZERO, 7), 34);
-    /// assert_eq!(ledger.usage(Duration::from_millis(1_500), 7), 12);
+    /// assert_eq!(ledger.usage(Duration::from_millis(1_500), 7), 13);
     /// ```
     pub fn charge(&mut self, now: Time, account: Account, usage: Usage) -> Usage {
         let fraction = match self.is_contended(now) {
@@ -181,7 +186,7 @@
                 entry.account,
                 DecayingSum {
                     usage,
-                    updated: now,
+                    updated: now + REPORT_TTL,
                 },
             )
         };
--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -115,6 +115,11 @@
     reach: usize,
     /// The time from the first event of a stream to its last, in milliseconds.
     stream: u64,
+    /// The bytes that the usage of idle accounts adds to each datagram: the more, the rarer are
+    /// reports.
+    idle: usize,
+    /// The requests of the account whose callers reach all routers, in a second for each engine.
+    large: f64,
 }
 
 /// A request that has not ended.
@@ -161,6 +166,7 @@
 
 struct World {
     stream: Duration,
+    idle: usize,
     pools: Vec<Pool>,
     meshes: Vec<Mesh>,
     index: BTreeMap<IpAddr, usize>,
@@ -213,7 +219,7 @@
         };
         let large = Caller {
             account: 2,
-            rate: 1.6,
+            rate: fleet.large,
             reach: fleet.routers,
             start: 5,
         };
@@ -246,6 +252,7 @@
             .map(|caller| (caller.account, vec![Second::default(); SECONDS + 1]));
         let mut world = Self {
             stream: millis(fleet.stream),
+            idle: fleet.idle,
             pools: (0..count).map(pool).collect(),
             meshes: meshes(count),
             index: (0..count).map(|i| (address(i), i)).collect(),
@@ -404,7 +411,7 @@
                 ..Beacon::default()
             };
             let bytes = beacon.encode().expect("a beacon can be encoded").len();
-            cost.add(bytes, recipients.len());
+            cost.add(bytes + self.idle, recipients.len());
             let report = Rc::new(report);
             for ip in recipients {
                 let to = self.index[&ip];
@@ -505,9 +512,11 @@
 
 /// Guards against an account starving because its callers reach few of many routers.
 #[rstest]
-#[case::four(Fleet { routers: 4, engines: 12, reach: 1, stream: 1_500 })]
-#[case::twenty_eight(Fleet { routers: 28, engines: 50, reach: 1, stream: 1_500 })]
-#[case::hundred(Fleet { routers: 103, engines: 180, reach: 2, stream: 1_500 })]
+#[case::four(Fleet { routers: 4, engines: 12, reach: 1, stream: 1_500, idle: 0, large: 1.6 })]
+#[case::twenty_eight(Fleet { routers: 28, engines: 50, reach: 1, stream: 1_500, idle: 0, large: 1.6 })]
+#[case::hundred(Fleet { routers: 103, engines: 180, reach: 2, stream: 1_500, idle: 0, large: 1.6 })]
+#[case::rare_reports(Fleet { routers: 28, engines: 50, reach: 2, stream: 1_500, idle: 8_000, large: 6.0 })]
+#[case::rare_reports_of_many(Fleet { routers: 103, engines: 180, reach: 2, stream: 1_500, idle: 8_000, large: 6.0 })]
 fn an_account_at_few_routers_gets_its_share(#[case] fleet: Fleet) {
     let world = World::new(&fleet).play();
     let mut starved = Vec::new();
@@ -532,6 +541,42 @@
     assert!(starved.is_empty(), "starved: {starved:?}");
 }
 
+/// The interval between two reports of a router.
+const REPORT_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The greatest part by which the usage of two accounts that get the same may seem to differ.
+const TOLERANCE: f64 = 0.1;
+
+/// Guards against an account seeming to get less because most of it is known from reports.
+#[test]
+fn reported_usage_counts_as_much_as_own_usage() {
+    const ROUTERS: u32 = 4;
+    let mut ledgers = vec![Ledger::default(); ROUTERS as usize];
+    let interval = REPORT_INTERVAL.as_millis() as u64;
+    for now in (0..12_000).step_by(20) {
+        let now = millis(now);
+        for ledger in &mut ledgers {
+            ledger.record_refusal(now, 9);
+            ledger.charge(now, 1, 100);
+        }
+        ledgers[0].charge(now, 2, 100 * u64::from(ROUTERS));
+        if now > Duration::from_secs(8) {
+            let usage = |account| ledgers[0].usage(now, account) as f64;
+            let ratio = usage(1) / usage(2);
+            assert!((ratio - 1.0).abs() < TOLERANCE, "{ratio} at {now:?}");
+        }
+        if now.as_millis() as u64 % interval == 0 {
+            for i in 1..ROUTERS {
+                let report = UsageReport {
+                    served: ledgers[i as usize].served(now, Scope::Router),
+                    ..UsageReport::default()
+                };
+                ledgers[0].merge(now, Source::router(i), &report);
+            }
+        }
+    }
+}
+
 /// The usage of accounts and the stated throughput, which is no limit where more is served.
 struct Share {
     /// What is served to two accounts that request much.
