--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -564,7 +564,7 @@
 fn reported_usage_counts_as_much_as_own_usage() {
     const ROUTERS: u32 = 4;
     let mut ledgers = vec![Ledger::default(); ROUTERS as usize];
-    let interval = REPORT_INTERVAL.as_millis() as u64;
+    let mut report_due = REPORT_INTERVAL;
     for now in (0..12_000).step_by(20) {
         let now = millis(now);
         for ledger in &mut ledgers {
@@ -577,7 +577,8 @@
             let ratio = usage(1) / usage(2);
             assert!((ratio - 1.0).abs() < TOLERANCE, "{ratio} at {now:?}");
         }
-        if now.as_millis() as u64 % interval == 0 {
+        if now >= report_due {
+            report_due += REPORT_INTERVAL;
             for i in 1..ROUTERS {
                 let report = UsageReport {
                     served: ledgers[i as usize].served(now, Scope::Router),
