--- a/tests/store_returns.rs
+++ b/tests/store_returns.rs
@@ -82,6 +82,19 @@
     config
 }
 
+/// Returns configuration 2, in which a route's requests go to a service without targets.
+fn config_with_weights() -> Value {
+    let mut config = config(2, &["secret"]);
+    config["routes"][0]["service"] = Value::Null;
+    config["routes"][0]["trafficSplit"] =
+        json!([{ "service": "web", "weight": 0 }, { "service": "other", "weight": 100 }]);
+    let services = config["services"]
+        .as_array_mut()
+        .expect("services are a list");
+    services.push(json!({ "name": "other" }));
+    config
+}
+
 struct Return {
     /// What the store acknowledges, and then loses if the copy was made before it.
     change: fn(&Net),
@@ -122,6 +135,14 @@
     then: 200,
 };
 
+const CHANGED_WEIGHTS: Return = Return {
+    change: |net| put_config(net, &config_with_weights()),
+    path: "/read/1",
+    status: 503,
+    again: |net| net.configure(3, &["secret"]),
+    then: 200,
+};
+
 /// Both targets are removed, and one is written again.
 const TARGETS_LEFT: Return = Return {
     change: |net| {
@@ -176,6 +197,7 @@
         REVOKED_KEY,
         ADDED_ROUTE,
         DROPPED_ROUTE,
+        CHANGED_WEIGHTS,
         TARGETS_LEFT,
         TARGETS_DRAIN,
         TARGET_CAME
