Apply the list of targets before the entries that others hold back

A gateway took the word of its peers for what they hold back before it had applied the list that it had read, so those entries named no target yet, and counted itself as told.

--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -263,10 +263,11 @@
     /// Applies what another gateway knows of the store. Once it has read the era that is read here,
     /// it has told all that it holds back, unless there is more than one datagram has room for.
     fn merge_store_mark(&self, mark: &StoreMark) {
+        // This comes first, as it applies the list of targets to which the held entries belong.
+        let compared = mark.rules.is_some_and(|rules| self.compare_rules(rules));
         for entry in &mark.held {
             self.hold_entry(*entry);
         }
-        let compared = mark.rules.is_some_and(|rules| self.compare_rules(rules));
         let era = mark.newest.map(|newest| newest.position.era);
         let is_read = era >= self.store.replica().applied().map(|applied| applied.era);
         if compared && is_read && mark.held.len() < MAX_HELD_ENTRIES {
