Say what was believed of a target and what it states itself

The lines could not tell why: a placement said neither the load that was believed nor how old that was, and nothing read the load that engines state in their answers.

`place` now gives the believed load, the limit, the age of the reports and how many sources have expired; `first` gives the expected and the actual time and the stated load. Two histograms hold the ratios. No decision is changed.

--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -11,8 +11,9 @@
 };
 
 use crate::pool::{
-    Prompt, //
+    Prompt,
     PromptPart,
+    StatedLoad, //
 };
 
 /// The id that the caller gives to one attempt of a request; targets echo it.
@@ -39,6 +40,9 @@
 /// Announces that the target is leaving.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
+/// The target's load: its running requests, its waiting requests and its slots.
+const LOAD: HeaderName = HeaderName::from_static("server-load");
+
 /// The limit that larger token counts in header fields are reduced to: more tokens than the memory
 /// of an engine holds, and few enough that sums of counts fit into 64 bits.
 const MAX_TOKENS: u64 = u32::MAX as u64;
@@ -121,6 +125,8 @@
     pub leaving: bool,
     /// How long the target asks this router to send it no requests.
     pub retry_after: Option<Duration>,
+    /// The load of the target at the time of the response.
+    pub load: Option<StatedLoad>,
 }
 
 /// Reads what a caller's header fields say about the request.
@@ -263,6 +269,8 @@
 /// assert_eq!(notice(200, &headers).retry_after, None);
 /// headers.insert("server-leaving", HeaderValue::from_static("1"));
 /// assert!(notice(200, &headers).leaving);
+/// headers.insert("server-load", HeaderValue::from_static("3,1,8"));
+/// assert_eq!(notice(200, &headers).load.unwrap().waiting, 1);
 /// ```
 pub fn notice(status: u16, headers: &HeaderMap) -> Notice {
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
@@ -271,5 +279,15 @@
     Notice {
         leaving: text(&LEAVING).is_some_and(|value| value.trim() != "0"),
         retry_after: retry_after.filter(|_| status == 503),
+        load: text(&LOAD).and_then(parse_load),
     }
 }
+
+fn parse_load(text: &str) -> Option<StatedLoad> {
+    let mut counts = text.split(',').map(|count| count.trim().parse().ok());
+    Some(StatedLoad {
+        running: counts.next()??,
+        waiting: counts.next()??,
+        slots: counts.next()??,
+    })
+}
--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -10,6 +10,7 @@
 };
 
 use super::{
+    Attempt,
     Ledger,
     Output,
     Quarantine,
@@ -17,7 +18,7 @@
     RequestSpec,
     Settings,
     TargetSpec,
-    exchange::ReportedTargets,
+    exchange::LastReport,
     member::{
         Claim,
         Member, //
@@ -56,6 +57,8 @@
         target: Target,
         claim: Claim,
         since: Time,
+        /// The expected time to the first byte.
+        expected: Duration,
         /// Whether the first byte of the answer has arrived.
         read: bool,
     },
@@ -130,8 +133,8 @@
     pub(super) joined: Option<Time>,
     /// Rounds this router's part of the reserve of retries, from 0 to 1.
     pub(super) draw: f64,
-    /// The targets whose load each source has reported last.
-    pub(super) sources: BTreeMap<Source, ReportedTargets>,
+    /// The last report of each source.
+    pub(super) sources: BTreeMap<Source, LastReport>,
     /// The timers of all requests, the earliest first.
     pub(super) timers: BTreeSet<(Time, Sequence)>,
     /// The end of the grace period in which a missing answer is not counted as the target's
@@ -283,6 +286,7 @@
             claim,
             since,
             read,
+            ..
         } = &mut request.stage
         else {
             return Vec::new();
@@ -348,6 +352,24 @@
         self.take_outputs()
     }
 
+    /// Returns the current attempt of a request, if it has been sent.
+    pub fn attempt(&self, sequence: Sequence) -> Option<Attempt> {
+        let Stage::InFlight {
+            target,
+            since,
+            expected,
+            ..
+        } = self.requests.get(&sequence)?.stage
+        else {
+            return None;
+        };
+        Some(Attempt {
+            sent: since,
+            expected,
+            load: self.load(target)?,
+        })
+    }
+
     /// Returns the account of a request that has not ended.
     pub fn account(&self, sequence: Sequence) -> Option<Account> {
         let request = self.requests.get(&sequence)?;
@@ -387,6 +409,7 @@
             rank,
             trial,
             standing,
+            view,
             ..
         } = candidate;
         let spec = &self.requests[&sequence].spec;
@@ -412,6 +435,7 @@
             target,
             claim,
             since: now,
+            expected: first_byte,
             read: false,
         };
         let waited = now.saturating_sub(request.arrived);
@@ -427,6 +451,7 @@
             unread_tokens,
             rank,
             standing,
+            view: self.with_report_age(now, view),
         });
     }
 
--- a/src/pool/exchange.rs
+++ b/src/pool/exchange.rs
@@ -5,9 +5,11 @@
 use super::{
     Load,
     Pool,
+    TargetView,
     UsageReport,
     core::ServiceState,
-    member::Member, //
+    member::Member,
+    timer::PEER_LOAD_TTL, //
 };
 use crate::{
     ids::{
@@ -34,10 +36,12 @@
         loads: &[Load],
         reports: &[UsageReport],
     ) {
-        let previous = self
-            .sources
-            .insert(source, loads.iter().map(|load| load.target).collect());
-        for target in previous.unwrap_or_default() {
+        let report = LastReport {
+            received: now,
+            targets: loads.iter().map(|load| load.target).collect(),
+        };
+        let previous = self.sources.insert(source, report);
+        for target in previous.unwrap_or_default().targets {
             if let Some(member) = self.members.get_mut(&target) {
                 member.peers.remove(&source);
             }
@@ -90,6 +94,18 @@
         self.members.get(&target).map(Member::load)
     }
 
+    /// Adds the age of the reports that loads consist of to the view of a target.
+    pub(super) fn with_report_age(&self, now: Time, view: TargetView) -> TargetView {
+        let ages = self.sources.values();
+        let ages = ages.map(|report| now.saturating_sub(report.received));
+        let (fresh, expired): (Vec<_>, Vec<_>) = ages.partition(|age| *age < PEER_LOAD_TTL);
+        TargetView {
+            age: fresh.into_iter().max().unwrap_or_default(),
+            expired: expired.len(),
+            ..view
+        }
+    }
+
     /// Returns the loads of the targets from the routers of a scope, for this router's report on
     /// that scope.
     pub fn loads(&self, scope: Scope) -> Vec<Load> {
@@ -115,5 +131,10 @@
     }
 }
 
-/// The targets in the last report of a source.
-pub(super) type ReportedTargets = Vec<Target>;
+/// The last report of a source on the load of targets.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LastReport {
+    received: Time,
+    /// The targets whose load it reports.
+    targets: Vec<Target>,
+}
--- a/src/pool/member.rs
+++ b/src/pool/member.rs
@@ -1,8 +1,11 @@
 //! A target of the pool with its load, its health and the models of its engine.
 
-use std::collections::{
-    BTreeMap,
-    HashMap, //
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    time::Duration, //
 };
 
 use super::{
@@ -46,6 +49,41 @@
     }
 }
 
+/// The load that a target states in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatedLoad {
+    /// The requests that it runs.
+    pub running: u32,
+    /// The requests that wait in its queue.
+    pub waiting: u32,
+    /// The requests that it can run at a time.
+    pub slots: u32,
+}
+
+/// What a pool knew of a target when it sent a request there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetView {
+    /// The load from all routers together, without the request itself.
+    pub load: Load,
+    /// The running requests from which on the request would not have been sent there.
+    pub limit: u32,
+    /// The age of the oldest report that counts as load.
+    pub age: Duration,
+    /// The number of sources whose last report is too old to count.
+    pub expired: usize,
+}
+
+/// An attempt whose answer has not ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// When the request was sent.
+    pub sent: Time,
+    /// The time to the first byte that was expected then.
+    pub expected: Duration,
+    /// The load that the target is now believed to have from all routers.
+    pub load: Load,
+}
+
 /// The load that one request adds to its target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Claim {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -47,7 +47,12 @@
 pub use health::Health;
 pub use latency::LatencyModel;
 pub use ledger::Ledger;
-pub use member::Load;
+pub use member::{
+    Attempt,
+    Load,
+    StatedLoad,
+    TargetView, //
+};
 pub use memory::{
     ConnectionGuard, //
     MemoryBudget,
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -15,7 +15,10 @@
         Service,
         Target, //
     },
-    pool::Standing,
+    pool::{
+        Standing,
+        TargetView, //
+    },
     router::RetryLimits,
     wire::AccountUsage, //
 };
@@ -146,6 +149,8 @@
         rank: Option<usize>,
         /// What the account had and how much of the target it could use.
         standing: Standing,
+        /// What was known of the target.
+        view: TargetView,
     },
     /// Refuse a request, which has not run.
     Refuse {
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -17,6 +17,7 @@
     Prompt,
     RequestSpec,
     Standing,
+    TargetView,
     core::{
         Request,
         Stage, //
@@ -117,6 +118,8 @@
     /// The suspect part that the request is sent to try.
     pub(super) trial: Option<Part>,
     pub(super) standing: Standing,
+    /// The load of the target and the limit on it.
+    pub(super) view: TargetView,
 }
 
 impl Pool {
@@ -256,6 +259,7 @@
                 false => self.evaluate(now, request, member, &constraints)?,
             };
             candidate.standing = standing;
+            candidate.view.load = member.load();
             candidate.cost += (member.health.failure_rate() - lowest) * FAILURE_COST_MS;
             if let Admission::Trial(part) = admission {
                 // If the target crashes, the fewest other requests are lost.
@@ -360,6 +364,10 @@
         rank,
         trial: None,
         standing: Standing::default(),
+        view: TargetView {
+            limit: limit.ceil() as u32,
+            ..TargetView::default()
+        },
     })
 }
 
@@ -379,6 +387,10 @@
         rank: None,
         trial: None,
         standing: Standing::default(),
+        view: TargetView {
+            limit: slots * REQUESTS_PER_SLOT,
+            ..TargetView::default()
+        },
     })
 }
 
@@ -392,5 +404,6 @@
         rank: None,
         trial: None,
         standing: Standing::default(),
+        view: TargetView::default(),
     }
 }
--- a/src/pool/timer.rs
+++ b/src/pool/timer.rs
@@ -14,7 +14,7 @@
 };
 
 /// The time for which a reported load is used: several rounds of the exchange.
-const PEER_LOAD_TTL: Duration = Duration::from_millis(1_000);
+pub(super) const PEER_LOAD_TTL: Duration = Duration::from_millis(1_000);
 
 /// The number of objectives after which a target that has sent no first byte counts as failed.
 pub(super) const SILENCE_OBJECTIVES: u32 = 4;
--- a/src/shell/gateway/attempt.rs
+++ b/src/shell/gateway/attempt.rs
@@ -49,7 +49,10 @@
         self,
         ResponseKind, //
     },
-    pool::Fault,
+    pool::{
+        Fault,
+        StatedLoad, //
+    },
     shell::{
         dial::{
             Connections,
@@ -87,6 +90,8 @@
     /// What has arrived of the body, to judge its end.
     pub(super) progress: Progress,
     pub(super) target: Target,
+    /// The load that the target has stated in the head.
+    pub(super) load: Option<StatedLoad>,
     /// The connection, while the body is not read to its end.
     pub(super) sender: Option<Sender>,
     /// The connection pool that gets the connection back afterwards.
@@ -200,6 +205,7 @@
             remaining: Some(body),
             progress,
             target,
+            load: notice.load,
             sender: Some(sender),
             connections,
         };
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -43,6 +43,7 @@
         Time, //
     },
     pool::{
+        Attempt,
         Fault,
         Refusal, //
     },
@@ -245,15 +246,9 @@
 
     /// Passes a target's answer on to the caller.
     fn deliver(mut self, mut answer: Answer) -> Response<Body> {
+        self.log_first(&answer);
         self.process.first_byte(self.sequence);
         self.process.metrics.observe_first_byte(self.elapsed());
-        log::info!(
-            "event=first request={} sequence={} took_ms={} framing={}",
-            self.request.id,
-            self.sequence,
-            self.elapsed().as_millis(),
-            answer.progress.framing(),
-        );
         if !self.request.resumable {
             // The request is not sent again, so its body is no longer needed.
             self.request.body = Bytes::new();
@@ -292,6 +287,43 @@
         Response::from_parts(head, body)
     }
 
+    /// Logs the beginning of an answer beside what was expected of it, and the load that its target
+    /// states beside the believed one.
+    fn log_first(&self, answer: &Answer) {
+        let Some(Attempt {
+            sent,
+            expected,
+            load,
+        }) = self.process.attempt(self.sequence)
+        else {
+            return;
+        };
+        let took = self.process.clock.now().saturating_sub(sent);
+        let stated = answer.load.unwrap_or_default();
+        log::info!(
+            "event=first request={} sequence={} took_ms={} framing={} attempt_ms={} expected_ms={} \
+             believed_running={} stated_running={} stated_waiting={} slots={}",
+            self.request.id,
+            self.sequence,
+            self.elapsed().as_millis(),
+            answer.progress.framing(),
+            took.as_millis(),
+            expected.as_millis(),
+            load.running,
+            stated.running,
+            stated.waiting,
+            stated.slots,
+        );
+        let metrics = &self.process.metrics;
+        if !expected.is_zero() {
+            metrics.observe_first_byte_ratio(took.as_secs_f64() / expected.as_secs_f64());
+        }
+        if answer.load.is_some() {
+            let requests = f64::from(stated.running + stated.waiting);
+            metrics.observe_load_ratio(requests / f64::from(load.running.max(1)));
+        }
+    }
+
     /// Refuses the request with a retry time. If an earlier attempt may have run, the response says
     /// so instead.
     fn refuse(mut self, cause: Refusal, retry: Duration) -> Response<Body> {
--- a/src/shell/gateway/decision_line.rs
+++ b/src/shell/gateway/decision_line.rs
@@ -4,7 +4,8 @@
 
 use crate::pool::{
     Output,
-    Standing, //
+    Standing,
+    TargetView, //
 };
 
 /// Formats a decision as one line of key=value pairs, which `explain-request` reads back.
@@ -31,6 +32,29 @@
     }
 }
 
+/// The fields for what was known of a target: its believed load, the limit on it, and the age of the
+/// reports.
+struct ViewFields<'a>(&'a TargetView);
+
+impl fmt::Display for ViewFields<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TargetView {
+            load,
+            limit,
+            age,
+            expired,
+        } = self.0;
+        write!(
+            f,
+            "believed_running={} believed_unread={} limit={limit} reports_age_ms={} \
+             reports_expired={expired}",
+            load.running,
+            load.unread_tokens,
+            age.as_millis(),
+        )
+    }
+}
+
 impl fmt::Display for DecisionLine<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
@@ -42,14 +66,16 @@
                 unread_tokens,
                 rank,
                 standing,
+                view,
             } => write!(
                 f,
                 "event=place sequence={sequence} target={target:08x} waited_ms={} \
-                 expected_ms={} unread_tokens={unread_tokens} home_rank={} {}",
+                 expected_ms={} unread_tokens={unread_tokens} home_rank={} {} {}",
                 waited.as_millis(),
                 expected.as_millis(),
                 rank.map_or(-1, |rank| rank as i64),
                 StandingFields(standing),
+                ViewFields(view),
             ),
             Output::Refuse {
                 sequence,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -19,6 +19,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.5, 5.0, 15.0,
 ];
 
+/// The upper bounds of the buckets of histograms of ratios.
+const RATIO_BUCKETS: [f64; 10] = [0.25, 0.5, 0.8, 1.25, 2.0, 3.0, 4.0, 6.0, 8.0, 16.0];
+
 /// The counters, gauges and histograms of a gateway, and their registry.
 pub(super) struct Metrics {
     registry: Registry,
@@ -31,6 +34,8 @@
     first_byte: Histogram,
     total: Histogram,
     end_check: Histogram,
+    load_ratio: Histogram,
+    first_byte_ratio: Histogram,
     caller_age: Histogram,
     hangup: Histogram,
     pub(super) active: IntGauge,
@@ -54,12 +59,13 @@
             let _ = registry.register(Box::new(counter.clone()));
             counter
         };
-        let histogram = |name, help| {
-            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+        let histogram_of = |buckets: &[f64], name, help| {
+            let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             let histogram = Histogram::with_opts(opts).expect("the buckets are in order");
             let _ = registry.register(Box::new(histogram.clone()));
             histogram
         };
+        let histogram = |name, help| histogram_of(&BUCKETS, name, help);
         let gauge = |name, help| {
             let gauge = IntGauge::new(name, help).expect("the metric name is valid");
             let _ = registry.register(Box::new(gauge.clone()));
@@ -109,6 +115,17 @@
                 "redwingyard_end_check_seconds",
                 "Time to learn the state of the target of an answer that ended with its connection.",
             ),
+            load_ratio: histogram_of(
+                &RATIO_BUCKETS,
+                "redwingyard_load_ratio",
+                "Requests that a target states to have, running or waiting, divided by those that it \
+                 was believed to have.",
+            ),
+            first_byte_ratio: histogram_of(
+                &RATIO_BUCKETS,
+                "redwingyard_first_byte_ratio",
+                "Time from sending a prompt to the first byte, divided by the expected one.",
+            ),
             caller_age: histogram(
                 "redwingyard_caller_age_seconds",
                 "Time since the caller was last known to be there when its request was sent.",
@@ -188,6 +205,14 @@
         self.end_check.observe(time.as_secs_f64());
     }
 
+    pub(super) fn observe_load_ratio(&self, ratio: f64) {
+        self.load_ratio.observe(ratio);
+    }
+
+    pub(super) fn observe_first_byte_ratio(&self, ratio: f64) {
+        self.first_byte_ratio.observe(ratio);
+    }
+
     pub(super) fn observe_caller_age(&self, time: Duration) {
         self.caller_age.observe(time.as_secs_f64());
     }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -45,6 +45,7 @@
         id, //
     },
     pool::{
+        Attempt,
         Fault,
         MemoryBudget,
         Output,
@@ -451,6 +452,11 @@
         (sequence, receiver)
     }
 
+    /// Returns the current attempt of a request, if it has been sent.
+    pub(super) fn attempt(&self, sequence: Sequence) -> Option<Attempt> {
+        self.pool.borrow().attempt(sequence)
+    }
+
     /// Reports to the pool that the first byte of a request's answer has arrived.
     pub(super) fn first_byte(&self, sequence: Sequence) {
         let outputs = self
