Look at few targets, drawn anew for each request

Cause: each of 103 gateways looked at all 180 engines and took the one that seemed best by reports of 0.6 s. Until the next reports the same engines seemed best to all (Mitzenmacher, "How Useful Is Old Information?", 2000). Evidence: 2 requests believed, 8 there at the median and 34 at p90; reports that had expired made no difference.

A request is now compared at its home engines and at some targets that are drawn at random: as many as the targets divided by the routers, four at least. A router that is alone looks at all. The rank of the home engines is worked out once for a request, not at each try.

It stays listed: what waits looks again at each dispatch, so many routers still find the same free place.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -79,6 +79,8 @@
     pub(super) unreached: u32,
     /// The targets at which an attempt has failed.
     pub(super) tried: Vec<Target>,
+    /// The home engines of the prompt in order of rank; see [`Pool::rank_homes`].
+    pub(super) homes: Vec<Target>,
     /// The usage that was charged to the account for the current attempt.
     pub(super) charged: Usage,
     /// The parts of the prompt that may be suspects.
@@ -111,7 +113,7 @@
     pub(super) queue: Queue,
     pub(super) ledger: Ledger,
     pub(super) budget: RetryBudget,
-    pub(super) members: BTreeSet<Target>,
+    pub(super) members: Vec<Target>,
 }
 
 /// The queues and targets of one gateway, and the decisions about its requests.
@@ -183,7 +185,7 @@
             state.members.clear();
         }
         for spec in specs {
-            self.service_mut(spec.service).members.insert(spec.target);
+            self.service_mut(spec.service).members.push(spec.target);
             match self.members.get_mut(&spec.target) {
                 Some(member) => member.update(spec),
                 None => {
@@ -198,6 +200,13 @@
             let listed = |state: &ServiceState| state.members.contains(target);
             member.own.running > 0 || known.get(&member.spec.service).is_some_and(listed)
         });
+        let homes = self.requests.iter();
+        let homes = homes.map(|(sequence, request)| (*sequence, self.rank_homes(&request.spec)));
+        for (sequence, homes) in homes.collect::<Vec<_>>() {
+            if let Some(request) = self.requests.get_mut(&sequence) {
+                request.homes = homes;
+            }
+        }
         let services: Vec<_> = self.services.keys().copied().collect();
         for service in services {
             self.dispatch(now, service);
@@ -216,7 +225,7 @@
                 queue: Queue::default(),
                 ledger: Ledger::default(),
                 budget: RetryBudget::new(limits),
-                members: BTreeSet::new(),
+                members: Vec::new(),
             })
     }
 
@@ -255,10 +264,12 @@
         self.last += 1;
         let sequence = self.last;
         let work = self.work_of(&spec);
+        let homes = self.rank_homes(&spec);
         let state = self.service_mut(spec.service);
         state.ledger.add_demand(now, spec.account, work);
         state.budget.earn(now);
         let request = Request {
+            homes,
             parts: suspects(spec.prompt.as_ref()),
             begun: None,
             spec,
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -85,6 +85,15 @@
 /// How many requests at the front of an account's queue are tried for one that can be sent.
 const LOOK_AHEAD: usize = 8;
 
+/// The least number of targets that are drawn at random for a request, beside its home engines.
+const MIN_DRAWN: usize = 4;
+
+/// The number of draws for each target that is wanted, as some that are drawn are not available.
+const MAX_DRAWS: usize = 4;
+
+/// The number of engines in the order in which they become home engines of a prompt.
+const RANKED_HOMES: usize = 4;
+
 /// The home engines of a prompt: those to which its shared prefix hashes first, in order of rank.
 type Homes = [Option<Target>; PRESUMED_CACHED.len()];
 
@@ -209,15 +218,16 @@
             let request = &self.requests[sequence];
             Some((
                 *sequence,
-                self.choose(now, request, standing, home_fraction)?,
+                self.choose(now, *sequence, request, standing, home_fraction)?,
             ))
         })
     }
 
-    /// Returns the best target that can take a request now.
+    /// Returns the best target that can take a request now, of those that are looked at.
     fn choose(
         &self,
         now: Time,
+        sequence: Sequence,
         request: &Request,
         standing: Standing,
         home_fraction: f64,
@@ -227,28 +237,18 @@
         if admission == Admission::Wait {
             return None;
         }
-        let state = self.services.get(&request.spec.service)?;
-        let members = state
-            .members
-            .iter()
-            .filter_map(|target| self.members.get(target));
-        let eligible = |member: &&Member| {
-            let tried = request.tried.contains(&member.spec.target);
-            !tried && member.health.cooldown_left(now).is_zero()
-        };
-        let eligible: Vec<_> = members.filter(eligible).collect();
-        let available = |member: &&&Member| !member.health.is_backing_off(now);
-        let available: Vec<_> = eligible.iter().filter(available).copied().collect();
-        // Where every target is backing off, none of them is excluded for it.
-        let members = if available.is_empty() {
-            &eligible
-        } else {
-            &available
-        };
+        let homes = self.available_homes(now, request);
+        let mut members = self.draw(now, sequence, request, &homes);
+        if members.is_empty() {
+            // Where every target is backing off, none of them is excluded for it.
+            let targets = self.services.get(&request.spec.service)?.members.iter();
+            let targets = targets.filter_map(|target| self.eligible(now, request, *target));
+            members = targets.collect();
+        }
         let rates = members.iter().map(|member| member.health.failure_rate());
         let lowest = rates.fold(1.0, f64::min);
         let constraints = Constraints {
-            homes: self.homes(&request.spec, members),
+            homes,
             allowed: standing.allowed,
             home_wait: request.spec.objective.mul_f64(home_fraction),
             multiple: self.routers > 1 || !self.sources.is_empty(),
@@ -271,22 +271,90 @@
         candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
-    /// Returns the home engines of a request's prompt by rendezvous hashing of its shared prefix.
-    /// Every router with the same targets gets the same result.
-    fn homes(&self, spec: &RequestSpec, members: &[&Member]) -> Homes {
+    /// Returns a target if a request may be sent there, whether it has failed before or not.
+    fn eligible(&self, now: Time, request: &Request, target: Target) -> Option<&Member> {
+        let member = self.members.get(&target)?;
+        let tried = request.tried.contains(&target);
+        (!tried && member.health.cooldown_left(now).is_zero()).then_some(member)
+    }
+
+    /// Returns a target if a request may be sent there and it is not backing off.
+    fn available(&self, now: Time, request: &Request, target: Target) -> Option<&Member> {
+        let member = self.eligible(now, request, target)?;
+        (!member.health.is_backing_off(now)).then_some(member)
+    }
+
+    /// Returns the home engines of a prompt in order of rank, by rendezvous hashing of its shared
+    /// prefix, and the engines that take the place of unavailable ones. Every router with the same
+    /// targets gets the same result.
+    pub(super) fn rank_homes(&self, spec: &RequestSpec) -> Vec<Target> {
         let part = spec.prompt.as_ref().and_then(Prompt::shared);
+        let (Some(part), Some(state)) = (part, self.services.get(&spec.service)) else {
+            return Vec::new();
+        };
+        let weigh = |target: &Target| Reverse(rendezvous_weight(*target, part.path));
+        let mut targets: Vec<_> = state.members.iter().copied().collect();
+        if targets.len() > RANKED_HOMES {
+            targets.select_nth_unstable_by_key(RANKED_HOMES, weigh);
+            targets.truncate(RANKED_HOMES);
+        }
+        targets.sort_unstable_by_key(weigh);
+        targets
+    }
+
+    /// Returns the home engines of a request's prompt that are available.
+    fn available_homes(&self, now: Time, request: &Request) -> Homes {
+        let ranked = request.homes.iter().copied();
+        let available = ranked.filter(|target| self.available(now, request, *target).is_some());
         let mut homes = Homes::default();
-        if let Some(part) = part {
-            let targets = members.iter().map(|member| member.spec.target);
-            let mut ranked: Vec<_> = targets.collect();
-            ranked.sort_by_key(|target| Reverse(rendezvous_weight(*target, part.path)));
-            for (home, target) in homes.iter_mut().zip(ranked) {
-                *home = Some(target);
-            }
+        for (home, target) in homes.iter_mut().zip(available) {
+            *home = Some(target);
         }
         homes
     }
 
+    /// Returns the targets that are looked at for a request: its home engines and some that are drawn
+    /// anew each time.
+    ///
+    /// Routers that all chose among all targets would all choose the same few, until their reports
+    /// about these arrive (Mitzenmacher, "How Useful Is Old Information?", 2000). The more routers
+    /// there are, the fewer targets each of them looks at, so that about one looks at each target at
+    /// a time.
+    fn draw(
+        &self,
+        now: Time,
+        sequence: Sequence,
+        request: &Request,
+        homes: &Homes,
+    ) -> Vec<&Member> {
+        let Some(state) = self.services.get(&request.spec.service) else {
+            return Vec::new();
+        };
+        let listed = &state.members;
+        let is_other = |target: &Target| !homes.contains(&Some(*target));
+        let member = |target: Target| self.available(now, request, target);
+        let mut members: Vec<_> = homes.iter().flatten().copied().filter_map(member).collect();
+        let wanted = listed.len().div_ceil(self.routers).max(MIN_DRAWN);
+        if wanted + members.len() >= listed.len() {
+            members.extend(listed.iter().copied().filter(is_other).filter_map(member));
+            return members;
+        }
+        let mut rng =
+            fastrand::Rng::with_seed(self.settings.seed ^ sequence ^ now.as_nanos() as u64);
+        let mut drawn = Vec::with_capacity(wanted);
+        for _ in 0..wanted * MAX_DRAWS {
+            let target = listed[rng.usize(..listed.len())];
+            if is_other(&target) && !drawn.contains(&target) && member(target).is_some() {
+                drawn.push(target);
+            }
+            if drawn.len() == wanted {
+                break;
+            }
+        }
+        members.extend(drawn.into_iter().filter_map(member));
+        members
+    }
+
     /// Returns a target as a candidate for a request, unless it can't take the request now.
     fn evaluate(
         &self,
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -101,6 +101,20 @@
     }
 }
 
+/// Returns a request whose prompt has no part that others share.
+fn unshared_request(number: u64) -> RequestSpec {
+    let name = format!("own-{number}");
+    RequestSpec {
+        service: ENGINE,
+        prompt: Some(Prompt {
+            parts: PromptPart::chain([(&name[..], 5_000)]),
+            input: 5_000,
+            output: 100,
+        }),
+        ..plain_request(7)
+    }
+}
+
 fn refused(outputs: &[Output]) -> Vec<(Refusal, Duration)> {
     let cause = |out: &Output| match out {
         Output::Refuse { cause, retry, .. } => Some((*cause, *retry)),
@@ -371,6 +385,42 @@
     assert_eq!(home(1), home(2));
 }
 
+/// Guards against all routers choosing the engine that seems best by the same reports.
+#[test]
+fn routers_with_the_same_reports_do_not_choose_the_same_engine() {
+    const ROUTERS: u64 = 100;
+    const MOST: usize = 10;
+    let mut counts = [0; 51];
+    for seed in 0..ROUTERS {
+        let mut pool = Pool::new(Settings {
+            seed,
+            ..Settings::default()
+        });
+        pool.set_targets(Duration::ZERO, engines(50));
+        pool.set_routers(Duration::ZERO, ROUTERS as usize);
+        let (_, outputs) = pool.arrive(Duration::ZERO, unshared_request(seed));
+        for target in sent(&outputs) {
+            counts[target as usize] += 1;
+        }
+    }
+    let most = counts.into_iter().max().unwrap_or_default();
+    assert!(most <= MOST, "{most} requests at one engine: {counts:?}");
+}
+
+/// Guards against a router that is alone missing an idle engine, as it knows the load of all.
+#[test]
+fn a_router_alone_finds_each_idle_engine() {
+    let mut pool = pool(engines(50));
+    let mut targets = Vec::new();
+    for i in 0..50 {
+        let (_, outputs) = pool.arrive(Duration::ZERO, unshared_request(i));
+        targets.extend(sent(&outputs));
+    }
+    targets.sort_unstable();
+    targets.dedup();
+    assert_eq!(targets.len(), 50);
+}
+
 #[test]
 fn an_engine_gets_no_more_requests_than_it_can_start_within_the_objective() {
     let mut pool = pool(engines(1));
