--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -522,7 +522,6 @@
 
 /// The same where no router hears of an account in time that appears at all of them.
 #[rstest]
-#[ignore = "listed in KNOWN-RED.txt"]
 #[case::rare_reports_of_many(Fleet { routers: 103, engines: 180, reach: 2, stream: 1_500, idle: 8_000, large: 6.0 })]
 fn an_account_at_few_of_many_routers_gets_its_share(#[case] fleet: Fleet) {
     check_shares(&fleet);
