Don't hold accounts at plain services by the rate of engines

Found by reading: the stated rate is what engines produce, but accounts of plain services, whose requests are counted with 1,000 tokens, were held to parts of it as well. With more than four routers and a rate below a thousandfold of the requests in a second, callers of a sound plain service were refused.

accounts_are_not_held_at_plain_targets failed at the second request. The other new test, the_few_available_targets_are_found_among_many, passed before too: draws that find no available target fall back to all.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -120,8 +120,8 @@
     pub(super) last_dispatch: Option<Time>,
     pub(super) queue: Queue,
     pub(super) ledger: Ledger,
-    /// What engines can take beyond the stated rate.
-    pub(super) headroom: Headroom,
+    /// What engines can take beyond the stated rate; none before the first prompt.
+    pub(super) headroom: Option<Headroom>,
     /// The comparison of accounts by the ledger, and when it was made.
     fairness: Option<(Time, Rc<Fairness>)>,
     pub(super) budget: RetryBudget,
@@ -255,7 +255,7 @@
                 last_dispatch: None,
                 queue: Queue::default(),
                 ledger: Ledger::default(),
-                headroom: Headroom::default(),
+                headroom: None,
                 fairness: None,
                 budget: RetryBudget::new(limits),
                 members: Vec::new(),
@@ -350,7 +350,8 @@
         let (service, deadline) = (request.spec.service, request.spec.deadline);
         if request.spec.prompt.is_some() {
             let late = now > request.arrived + request.spec.objective;
-            self.service_mut(service).headroom.record(late);
+            let headroom = &mut self.service_mut(service).headroom;
+            headroom.get_or_insert_default().record(late);
         }
         self.set_timer(sequence, deadline);
         self.dispatch_soon(now, service);
--- a/src/pool/refuse.rs
+++ b/src/pool/refuse.rs
@@ -123,6 +123,9 @@
         let Some(state) = self.services.get_mut(&spec.service) else {
             return Expected::default();
         };
+        if spec.prompt.is_some() {
+            state.headroom.get_or_insert_default();
+        }
         let fairness = state.fairness(now, supply);
         let state = &self.services[&spec.service];
         let waiting = state.queue.of_account(account).map_or(0, VecDeque::len);
--- a/src/pool/throttle.rs
+++ b/src/pool/throttle.rs
@@ -87,14 +87,21 @@
     /// Creates the comparison from a ledger. Accounts may receive more than the stated rate, by the
     /// factor of `headroom`, while answers begin in time.
     ///
-    /// Where few routers send to the same targets, none is held: their reports tell where there is
-    /// room.
-    pub(super) fn new(ledger: &Ledger, now: Time, supply: Supply, headroom: Headroom) -> Self {
+    /// Without `headroom`, the service has no engines, and the rate is not that of its targets. There,
+    /// and where few routers send to the same targets, no account is held: the reports of few routers
+    /// tell where there is room.
+    pub(super) fn new(
+        ledger: &Ledger,
+        now: Time,
+        supply: Supply,
+        headroom: Option<Headroom>,
+    ) -> Self {
         let Supply { rate, routers } = supply;
         let share = rate.map_or(0, |rate| ledger.fair_share(now, rate));
-        let limit = rate
-            .filter(|_| routers > ROUTERS_AT_ONCE)
-            .map(|rate| ledger.fair_share(now, (rate as f64 * headroom.factor()) as u64));
+        let most = rate.zip(headroom).filter(|_| routers > ROUTERS_AT_ONCE);
+        let limit = most.map(|(rate, headroom)| {
+            ledger.fair_share(now, (rate as f64 * headroom.factor()) as u64)
+        });
         let refused = ledger.all_refused(now);
         // The lowest usage of a refused account sets the threshold. Without a refusal no account is
         // throttled, because all get what they request.
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -410,6 +410,34 @@
     assert!(most <= MOST, "{most} requests at one engine: {counts:?}");
 }
 
+/// Guards against requests to targets that have failed while others are available.
+#[test]
+fn the_few_available_targets_are_found_among_many() {
+    const TARGETS: u32 = 180;
+    const AVAILABLE: usize = 5;
+    let mut pool = pool(engines(TARGETS));
+    let mut failed = Vec::new();
+    for number in 0.. {
+        let (sequence, outputs) = pool.arrive(Duration::ZERO, unshared_request(number));
+        failed.extend(sent(&outputs));
+        pool.fail(Duration::ZERO, sequence, Fault::Unreachable);
+        pool.end(Duration::ZERO, sequence, false);
+        failed.sort_unstable();
+        failed.dedup();
+        if failed.len() + AVAILABLE == TARGETS as usize {
+            break;
+        }
+    }
+    pool.set_routers(Duration::ZERO, 100);
+    for number in 1_000..1_020 {
+        let (sequence, outputs) = pool.arrive(Duration::ZERO, unshared_request(number));
+        let targets = sent(&outputs);
+        let target = targets.first().expect("the request is sent");
+        assert!(!failed.contains(target), "{target}");
+        pool.end(Duration::ZERO, sequence, true);
+    }
+}
+
 /// Guards against a router that is alone missing an idle engine, as it knows the load of all.
 #[test]
 fn a_router_alone_finds_each_idle_engine() {
@@ -629,6 +657,27 @@
     assert!(case.sent.contains(&count), "{count} requests sent");
 }
 
+/// Guards against requests to plain targets being held by the rate of engines.
+#[test]
+fn accounts_are_not_held_at_plain_targets() {
+    let mut pool = Pool::new(Settings::default());
+    pool.set_targets(Duration::ZERO, plain_targets(20));
+    pool.set_shares(Default::default(), Some(20_000));
+    pool.set_routers(Duration::ZERO, 10);
+    let entry = |account, usage| AccountUsage { account, usage };
+    let report = UsageReport {
+        service: PLAIN,
+        served: vec![entry(1, 100_000), entry(2, 1_000)],
+        demand: vec![entry(1, 4_000_000), entry(2, 1_000_000)],
+        refused: vec![2],
+    };
+    pool.merge_peer(Duration::ZERO, Source::router(9), &[], &[report]);
+    for number in 0..10 {
+        let (_, outputs) = pool.arrive(millis(number), plain_request(1));
+        assert_eq!(sent(&outputs).len(), 1, "request {number}");
+    }
+}
+
 /// Guards against all routers sending at once what each of them has only a part of.
 #[test]
 fn an_account_with_less_than_a_request_at_each_router_takes_turns() {
