Rank home engines again only when a service's targets change

Each new list of targets ranked the home engines of all requests anew: 180 hashes for each, although most lists change one other service or only the state of an entry. No test: decisions are the same.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -212,8 +212,9 @@
 
     /// Replaces the targets that requests may be sent to.
     pub fn set_targets(&mut self, now: Time, specs: Vec<TargetSpec>) -> Vec<Output> {
-        for state in self.services.values_mut() {
-            state.members.clear();
+        let mut listed = BTreeMap::new();
+        for (service, state) in &mut self.services {
+            listed.insert(*service, std::mem::take(&mut state.members));
         }
         for spec in specs {
             self.service_mut(spec.service).members.push(spec.target);
@@ -231,8 +232,13 @@
             let listed = |state: &ServiceState| state.members.contains(target);
             member.own.running > 0 || known.get(&member.spec.service).is_some_and(listed)
         });
-        let homes = self.requests.iter();
-        let homes = homes.map(|(sequence, request)| (*sequence, self.rank_homes(&request.spec)));
+        let is_changed = |service| {
+            let state = self.services.get(&service);
+            listed.get(&service) != state.map(|state| &state.members)
+        };
+        let requests = self.requests.iter();
+        let affected = requests.filter(|(_, request)| is_changed(request.spec.service));
+        let homes = affected.map(|(sequence, request)| (*sequence, self.rank_homes(&request.spec)));
         for (sequence, homes) in homes.collect::<Vec<_>>() {
             if let Some(request) = self.requests.get_mut(&sequence) {
                 request.homes = homes;
