Say what the last reading of the change found

Reading alone: a comment in place.rs claimed that all targets are compared only where every one is backing off, but they are also compared when no available one was drawn.

--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -257,7 +257,8 @@
         let homes = self.available_homes(now, request);
         let mut members = self.draw(now, sequence, request, &homes);
         if members.is_empty() {
-            // Where every target is backing off, none of them is excluded for it.
+            // None that is available was drawn. Where every target is backing off, none is excluded for
+            // it; elsewhere its failure rate makes one that is backing off the last choice.
             let targets = self.services.get(&request.spec.service)?.members.iter();
             let targets = targets.filter_map(|target| self.eligible(now, request, *target));
             members = targets.collect();
