--- a/review/lib.sh
+++ b/review/lib.sh
@@ -16,7 +16,6 @@
 GATEWAY=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 
 finish() {
-    # A gateway that was started again has its id in a file.
     for pid in $PIDS $(cat "$TMP"/pid-* 2>/dev/null); do
         kill -KILL "$pid" 2>/dev/null
     done
@@ -80,8 +79,9 @@
     # The command is split at spaces, as the platform does it.
     # shellcheck disable=SC2086
     REDWINGYARD_NODE_FILE=$TMP/gateway-$1.json $GATEWAY >>"$TMP/gateway-$1.log" 2>&1 &
+    # A gateway may be started in a subshell, so its id is kept in a file for the end of the script.
+    echo "$!" >"$TMP/pid-$1"
     eval "GATEWAY_PID_$1=$!"
-    PIDS="$PIDS $!"
 }
 
 # Starts gateways 1 and 2 and waits until they are ready.
