--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -285,45 +285,22 @@
     /// The runners of a service are replaced by a new version that states another idle timeout. LOST
     /// is broken if more than three requests from kept connections are passed on to the new runner,
     /// and their connections closed without an answer.
-    fn release(&self) -> i32 {
-        const TIME: Duration = Duration::from_secs(12);
-        const INTERVAL: Duration = Duration::from_millis(100);
-        let start = Instant::now();
+    fn release(self: &Arc<Self>) -> i32 {
+        /// The callers of each gateway, each with one request at a time.
+        const CALLERS: usize = 4;
+        let caller = |index: usize| {
+            let case = self.clone();
+            thread::spawn(move || case.call_in_turn(index % case.gateways.len()))
+        };
+        let callers: Vec<_> = (0..CALLERS * self.gateways.len()).map(caller).collect();
         let mut unanswered = Vec::new();
         let mut answered = 0;
-        let mut clients: BTreeMap<&str, Client> = BTreeMap::new();
-        while start.elapsed() < TIME {
-            for at in &self.gateways {
-                if !clients.contains_key(at.as_str()) {
-                    // The connection is kept from an answered request of another service.
-                    let request = Request::new("GET", "/chart/12", 2_500, None);
-                    let opened = Client::connect(at).and_then(|mut client| {
-                        client.call(&request.text).map(|answer| (client, answer))
-                    });
-                    let answer = opened.as_ref().ok().map(|(_, answer)| answer);
-                    self.log_answer(at, &request, answer);
-                    match opened {
-                        Ok((client, answer)) if answer.head.status() == 200 => {
-                            clients.insert(at, client);
-                        }
-                        _ => return 2,
-                    }
-                }
-                let Some(client) = clients.get_mut(at.as_str()) else {
-                    return 2;
-                };
-                let request = Request::new("POST", "/profile/7", 2_500, None);
-                let answer = client.call(&request.text).ok();
-                self.log_answer(at, &request, answer.as_ref());
-                match answer {
-                    Some(_) => answered += 1,
-                    None => {
-                        clients.remove(at.as_str());
-                        unanswered.push(request.id);
-                    }
-                }
-            }
-            sleep(INTERVAL);
+        for caller in callers {
+            let Ok(Some((count, ids))) = caller.join() else {
+                return 2;
+            };
+            answered += count;
+            unanswered.extend(ids);
         }
         let runs = self.runs();
         let passed = |id: &&String| runs.get(*id).is_some_and(|name| name == "i-new");
@@ -340,10 +317,46 @@
         }
     }
 
+    /// Sends writes to a gateway on kept connections. Returns how many were answered, and the ids of
+    /// those whose connections were closed without an answer; `None` if no connection can be kept.
+    fn call_in_turn(&self, gateway: usize) -> Option<(u32, Vec<String>)> {
+        const TIME: Duration = Duration::from_secs(12);
+        const INTERVAL: Duration = Duration::from_millis(100);
+        let at = &self.gateways[gateway];
+        let start = Instant::now();
+        let (mut answered, mut unanswered) = (0, Vec::new());
+        let mut kept: Option<Client> = None;
+        while start.elapsed() < TIME {
+            let mut client = match kept.take() {
+                Some(client) => client,
+                None => {
+                    // The connection is kept from an answered request of another service.
+                    let request = Request::new("GET", "/chart/12", 2_500, None);
+                    let mut client = Client::connect(at).ok()?;
+                    let answer = client.call(&request.text).ok()?;
+                    self.log_answer(at, &request, Some(&answer));
+                    (answer.head.status() == 200).then_some(client)?
+                }
+            };
+            let request = Request::new("POST", "/profile/7", 2_500, None);
+            let answer = client.call(&request.text).ok();
+            self.log_answer(at, &request, answer.as_ref());
+            match answer {
+                Some(_) => {
+                    answered += 1;
+                    kept = Some(client);
+                }
+                None => unanswered.push(request.id),
+            }
+            sleep(INTERVAL);
+        }
+        Some((answered, unanswered))
+    }
+
     /// A runner leaves in the planned way while it streams. ORDER is broken if a stream ends as
     /// complete before its last piece.
     fn leaving(self: &Arc<Self>) -> i32 {
-        const STREAMS: usize = 12;
+        const STREAMS: usize = 28;
         const LEAVE_AFTER: Duration = Duration::from_millis(1_000);
         let stream = |index: usize| {
             let case = self.clone();
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -37,6 +37,8 @@
     born: u128,
     /// The value of the field `Keep-Alive` in answers with a length; none if empty.
     keep_alive: String,
+    /// How long a plain request takes.
+    work: Duration,
     /// The number of events of a stream; without them, answers are plain.
     events: u64,
     /// The pause between two events.
@@ -59,6 +61,7 @@
         folder: text("folder"),
         born: now_ms(),
         keep_alive: text("keep-alive"),
+        work: Duration::from_millis(number("work-ms")),
         events: number("events"),
         gap: Duration::from_millis(number("gap-ms")),
         unframed: text("framing") == "none",
@@ -142,6 +145,7 @@
     }
 
     fn answer(&self, stream: &mut TcpStream, id: &str) -> io::Result<()> {
+        sleep(self.work);
         let body = format!("{} has run {id}", self.name);
         let keep_alive = match self.keep_alive.is_empty() {
             true => String::new(),
