--- a/review/rig-2/fleet.rs
+++ b/review/rig-2/fleet.rs
@@ -75,10 +75,15 @@
 impl Runner {
     /// Returns the entry that the runner writes into the store.
     pub fn entry(&self, service: &str, slots: u32, state: &str) -> String {
+        self.entry_at(self.address, service, slots, state)
+    }
+
+    /// Returns the same with the address of a proxy before the runner.
+    pub fn entry_at(&self, at: SocketAddr, service: &str, slots: u32, state: &str) -> String {
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"tw-north-a\",\"version\":\"v1\",\
              \"slots\":{slots},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":0,\"born\":{}}}",
-            self.address, self.born
+            at, self.born
         )
     }
 }
--- a/review/rig-2/kit.rs
+++ b/review/rig-2/kit.rs
@@ -9,7 +9,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex, OnceLock,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -552,12 +552,14 @@
 
 // ---------------------------------------------------------------------------------- the proxy
 
-/// A proxy whose open connections can go silent for good, without a reset, while new ones work.
+/// A proxy whose open connections can go silent for good, without a reset, while new ones work. It
+/// can also be cut: then it holds all bytes, ends and new connections until the cut has healed.
 #[derive(Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
     /// The connections that were opened in an earlier age are silent.
     age: Arc<AtomicU64>,
+    cut: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -566,28 +568,46 @@
         let proxy = Self {
             address: listener.local_addr().expect("it has an address"),
             age: Arc::default(),
+            cut: Arc::default(),
         };
         let shared = proxy.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let Ok(other) = TcpStream::connect(to) else {
-                    continue;
-                };
-                let _ = (stream.set_nodelay(true), other.set_nodelay(true));
-                let age = shared.age.load(Ordering::SeqCst);
-                let ends = (stream.try_clone(), other.try_clone());
-                let (Ok(back), Ok(forth)) = ends else {
-                    continue;
-                };
-                for (from, to) in [(stream, forth), (other, back)] {
-                    let shared = shared.clone();
-                    thread::spawn(move || shared.pass(from, to, age));
-                }
+                let shared = shared.clone();
+                thread::spawn(move || shared.open(stream, to));
             }
         });
         proxy
     }
 
+    fn open(&self, stream: TcpStream, to: SocketAddr) {
+        self.await_healed();
+        let Ok(other) = TcpStream::connect(to) else {
+            return;
+        };
+        let _ = (stream.set_nodelay(true), other.set_nodelay(true));
+        let age = self.age.load(Ordering::SeqCst);
+        let ends = (stream.try_clone(), other.try_clone());
+        let (Ok(back), Ok(forth)) = ends else {
+            return;
+        };
+        for (from, to) in [(stream, forth), (other, back)] {
+            let shared = self.clone();
+            thread::spawn(move || shared.pass(from, to, age));
+        }
+    }
+
+    /// Cuts or heals the path.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+
+    fn await_healed(&self) {
+        while self.cut.load(Ordering::SeqCst) {
+            sleep_ms(2);
+        }
+    }
+
     /// Makes all connections that are open now go silent.
     pub fn silence(&self) {
         self.age.fetch_add(1, Ordering::SeqCst);
@@ -597,6 +617,7 @@
         let mut bytes = [0; 16_384];
         loop {
             let read = from.read(&mut bytes);
+            self.await_healed();
             if self.age.load(Ordering::SeqCst) != age {
                 // Nothing more goes through, in either direction, and nobody is told.
                 loop {
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -8,6 +8,7 @@
 mod kit;
 mod leave;
 mod memory;
+mod reborn;
 mod runner;
 
 fn main() {
@@ -17,11 +18,12 @@
         Some("leave") => leave::main(&args[1]),
         Some("gone") => gone::main(&args[1]),
         Some("deadly") => deadly::main(&args[1]),
+        Some("reborn") => reborn::main(&args[1]),
         Some("idle") => descriptors::idle(&args[1..]),
         Some("descriptors") => descriptors::main(&args[1]),
         Some("memory") => memory::main(&args[1]),
         _ => {
-            eprintln!("usage: rig runner|leave|gone|deadly|memory|descriptors ...");
+            eprintln!("usage: rig runner|leave|gone|deadly|memory|reborn|descriptors ...");
             std::process::exit(2);
         }
     }
