--- a/review/rig-2/fleet.rs
+++ b/review/rig-2/fleet.rs
@@ -27,8 +27,13 @@
 
 /// Returns the configuration: the kinds of route of fitwell-tw, without keys.
 pub fn config() -> String {
+    config_with(7, "")
+}
+
+/// Returns the configuration of a version with the tenants that are given, as a field.
+pub fn config_with(version: u64, tenants: &str) -> String {
     format!(
-        "{{\"version\":7,\"routes\":[\
+        "{{\"version\":{version},\"routes\":[\
          {{\"name\":\"r-book\",\"host\":\"shop.example\",\"prefix\":\"/book/\",\"kind\":\"unsafe\",\
          \"timeoutMs\":2500,\"targetLatencyMs\":150,\"priority\":2,\"service\":\"shop\",\
          \"maxAttempts\":1,\"anonymous\":false,\"sticky\":false,\"resumable\":false}},\
@@ -41,7 +46,7 @@
          {{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":620,\"protocol\":\"h1\",\
          \"tls\":false,\"engine\":{{\"slots\":128,\"kvCapacityTokens\":960364}}}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
-         \"idleTimeoutMs\":15000,\"tokensPerS\":430000}}}}"
+         \"idleTimeoutMs\":15000,\"tokensPerS\":430000}}{tenants}}}"
     )
 }
 
--- a/review/rig-2/kit.rs
+++ b/review/rig-2/kit.rs
@@ -293,10 +293,26 @@
     store: SocketAddr,
     memory_mb: u64,
     descriptors: Option<usize>,
+) -> Gateway {
+    start_gateway_in("tw-north-a", dir, name, ip, ports, seeds, store, memory_mb, descriptors)
+}
+
+/// Does the same in another zone.
+#[allow(clippy::too_many_arguments)]
+pub fn start_gateway_in(
+    zone: &str,
+    dir: &str,
+    name: &str,
+    ip: &str,
+    ports: Ports,
+    seeds: &[&str],
+    store: SocketAddr,
+    memory_mb: u64,
+    descriptors: Option<usize>,
 ) -> Gateway {
     let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}:{}\"", ports.admin)).collect();
     let settings = format!(
-        "{{\"name\":\"{name}\",\"domain\":\"tw-north-a\",\"http\":\"{ip}:{}\",\
+        "{{\"name\":\"{name}\",\"domain\":\"{zone}\",\"http\":\"{ip}:{}\",\
          \"admin\":\"{ip}:{}\",\"peer\":\"{ip}:{}\",\"seeds\":[{}],\"store\":\"{store}\",\
          \"trust_ms\":5000,\"apply_ms\":2000,\
          \"retry\":{{\"ratio\":0.2,\"window_s\":10,\"slack\":54}},\
@@ -308,7 +324,7 @@
     );
     let path = format!("{dir}/{name}.json");
     std::fs::write(&path, settings).expect("the settings can be written");
-    let log = File::create(format!("{dir}/{name}.log")).expect("the log can be written");
+    let log = open_log(&format!("{dir}/{name}.log"));
     let errors = log.try_clone().expect("the log can be shared");
     let mut command = match descriptors {
         None => Command::new("target/release/redwingyard"),
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -4,11 +4,11 @@
 mod deadly;
 mod descriptors;
 mod fleet;
-mod gone;
 mod kit;
 mod leave;
 mod memory;
 mod reborn;
+mod revoked;
 mod runner;
 
 fn main() {
@@ -16,14 +16,14 @@
     match args.first().map(String::as_str) {
         Some("runner") => runner::main(&args[1..]),
         Some("leave") => leave::main(&args[1]),
-        Some("gone") => gone::main(&args[1]),
         Some("deadly") => deadly::main(&args[1]),
         Some("reborn") => reborn::main(&args[1]),
+        Some("revoked") => revoked::main(&args[1]),
         Some("idle") => descriptors::idle(&args[1..]),
         Some("descriptors") => descriptors::main(&args[1]),
         Some("memory") => memory::main(&args[1]),
         _ => {
-            eprintln!("usage: rig runner|leave|gone|deadly|memory|reborn|descriptors ...");
+            eprintln!("usage: rig runner|leave|deadly|memory|reborn|revoked|descriptors ...");
             std::process::exit(2);
         }
     }
