Say why an answer ended early, how late it was read, and how late a stop was noticed

`end` has `unread_ms` and the outcomes `cut-deadline` and `cut-stop` beside `broken`; `stopping` has `late_ms`, `cut` has `caller_age_ms`. The counter redwingyard_requests_ended_early_total counts requests that are ended for their deadline while their callers may still wait, which must not happen. No decision changes.

--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -84,7 +84,11 @@
     pub(super) stream: bool,
     /// Whether another target may continue the stream.
     pub(super) resumable: bool,
+    /// The earliest time at which it can have arrived.
     pub(super) arrived: Time,
+    /// How much later it may have arrived.
+    pub(super) unread: Duration,
+    /// The earliest time at which the caller may stop waiting.
     pub(super) deadline: Time,
     /// The connection's record of this request.
     pub(super) exchange: Rc<Exchange>,
@@ -123,6 +127,11 @@
         self.request.deadline.saturating_sub(now)
     }
 
+    /// Returns whether the caller may still wait: its request may have arrived as late as it was read.
+    fn is_wanted(&self) -> bool {
+        self.process.clock.now() < self.request.deadline + self.request.unread
+    }
+
     /// Returns for how long the caller may have been gone: the time since it was last known to be
     /// there.
     pub(super) fn caller_age(&self) -> Duration {
@@ -161,16 +170,25 @@
         let account = self.request.account.as_deref().unwrap_or("-");
         log::info!(
             "event=end request={} sequence={} account={account} route={} generation={} \
-             outcome={outcome} took_ms={} left_ms={}",
+             outcome={outcome} took_ms={} left_ms={} unread_ms={}",
             self.request.id,
             self.sequence,
             self.request.route,
             self.process.rules().generation(),
             self.elapsed().as_millis(),
             self.time_left().as_millis(),
+            self.request.unread.as_millis(),
         );
     }
 
+    /// Ends the request for its deadline, and counts it if the caller may still wait.
+    pub(super) fn end_late(&mut self, outcome: &str) {
+        if !self.ended && self.is_wanted() {
+            self.process.metrics.count_early_end(outcome);
+        }
+        self.end(outcome, false);
+    }
+
     /// Waits for the pool's next decision about the request; a closed channel means that it
     /// expired.
     pub(super) async fn next_decision(&mut self) -> Decision {
@@ -358,7 +376,7 @@
 
     /// Answers a request whose deadline has passed; it may have run.
     fn expire(mut self) -> Response<Body> {
-        self.end("expired", false);
+        self.end_late("expired");
         let detail = "the target did not answer in time";
         problem::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout", detail)
     }
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -218,6 +218,7 @@
         stream: route.stream,
         resumable: route.repeat == RetryPolicy::Resume,
         arrived,
+        unread,
         deadline,
         exchange: exchange.clone(),
         presence,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -29,6 +29,7 @@
     faults: IntCounterVec,
     pub(super) accepted: IntCounter,
     cuts: IntCounterVec,
+    early_ends: IntCounterVec,
     closed: IntCounterVec,
     retries: IntCounterVec,
     confirmations: IntCounterVec,
@@ -106,6 +107,12 @@
                 "Requests whose connection ended before their answer was complete, by cause.",
                 "cause",
             ),
+            early_ends: counter(
+                "redwingyard_requests_ended_early_total",
+                "Requests that were ended for their deadline while their callers may have waited, by \
+                 outcome.",
+                "outcome",
+            ),
             closed: counter(
                 "redwingyard_connections_closed_total",
                 "Connections of callers that were closed for what they sent, or for others, by cause.",
@@ -247,6 +254,10 @@
         self.cuts.with_label_values(&[cause]).inc();
     }
 
+    pub(super) fn count_early_end(&self, outcome: &str) {
+        self.early_ends.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn count_closed(&self, cause: &str) {
         self.closed.with_label_values(&[cause]).inc();
     }
--- a/src/shell/gateway/relay.rs
+++ b/src/shell/gateway/relay.rs
@@ -1,12 +1,13 @@
 //! Passes an answer on to the caller as it arrives, and continues a stream at another target.
 
 use std::{
-    fmt::Display,
+    fmt,
     time::Duration, //
 };
 
 use bytes::Bytes;
 use compio::time::sleep;
+use derive_more::Display;
 use futures_util::{
     StreamExt,
     stream::unfold, //
@@ -68,6 +69,20 @@
     done: bool,
 }
 
+/// Why an answer ends before it is complete.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Break {
+    /// Its target broke it off, and no other one has continued it.
+    #[display("broken")]
+    Target,
+    /// The deadline of its request has passed.
+    #[display("cut-deadline")]
+    Deadline,
+    /// This process ends.
+    #[display("cut-stop")]
+    Stop,
+}
+
 /// Returns the response body that passes an answer on.
 pub(super) fn relay(call: Call, answer: Answer) -> Body {
     let resumable = call.request.resumable && answer.head.status.is_success();
@@ -117,14 +132,14 @@
                     Ok(partial) => partial.unwrap_or_default(),
                     Err(foreign) => match relay.recover(&foreign).await {
                         Ok(_) => continue,
-                        Err(Truncated) => return Some(relay.break_off().await),
+                        Err(cause) => return Some(relay.break_off(cause).await),
                     },
                 };
                 relay.finish();
                 relay.done = true;
                 return (!partial.is_empty()).then(|| (Ok(Frame::data(partial)), relay));
             }
-            Err(Truncated) => return Some(relay.break_off().await),
+            Err(cause) => return Some(relay.break_off(cause).await),
         }
     }
 }
@@ -161,8 +176,11 @@
     }
 
     /// Ends the answer so that the caller can see that it is incomplete.
-    async fn break_off(mut self) -> (Result<Frame<Bytes>, Truncated>, Self) {
-        self.call.end("broken", false);
+    async fn break_off(mut self, cause: Break) -> (Result<Frame<Bytes>, Truncated>, Self) {
+        match cause {
+            Break::Deadline => self.call.end_late(&cause.to_string()),
+            Break::Target | Break::Stop => self.call.end(&cause.to_string(), false),
+        }
         self.done = true;
         // hyper drops what it has not written when a body fails.
         sleep(WRITE_PAUSE).await;
@@ -170,7 +188,7 @@
     }
 
     /// Reads more of the answer, or continues it elsewhere; returns `false` at its end.
-    async fn read(&mut self) -> Result<bool, Truncated> {
+    async fn read(&mut self) -> Result<bool, Break> {
         let Some(body) = &mut self.answer.remaining else {
             return Ok(false);
         };
@@ -186,21 +204,21 @@
                 Ok(true)
             }
             Ok(Some(Err(err))) => self.recover(&err).await,
-            Err(AttemptResult::Expired) => Err(Truncated),
+            Err(AttemptResult::Expired) => Err(self.expiry()),
             Err(_) => self.resume().await.map(|()| true),
         }
     }
 
     /// Finds out what has become of the target of an answer that broke off, and continues the answer
     /// elsewhere.
-    async fn recover(&mut self, cause: &impl Display) -> Result<bool, Truncated> {
+    async fn recover(&mut self, cause: &impl fmt::Display) -> Result<bool, Break> {
         self.answer.log_break(&self.call.request.id, cause);
         self.call.process.check_target(self.call.sequence).await;
         self.resume().await.map(|()| true)
     }
 
     /// Continues the stream at another target after the last whole event, if its route allows it.
-    async fn resume(&mut self) -> Result<(), Truncated> {
+    async fn resume(&mut self) -> Result<(), Break> {
         // The connection can't be reused; dropping it closes it, so that the target can stop.
         self.answer.remaining = None;
         self.answer.sender = None;
@@ -208,17 +226,18 @@
             Some(splitter) if splitter.can_continue() => {
                 splitter.start_continuation().map(str::to_owned)
             }
-            _ => return Err(Truncated),
+            _ => return Err(Break::Target),
         };
         loop {
             if !self.call.retry(Fault::Lost) {
-                return Err(Truncated);
+                return Err(Break::Target);
             }
             let target = loop {
                 match self.call.next_decision().await {
                     Decision::Send(target) => break target,
                     Decision::Abandon => {}
-                    Decision::Refuse(..) | Decision::Expire => return Err(Truncated),
+                    Decision::Refuse(..) => return Err(Break::Target),
+                    Decision::Expire => return Err(self.expiry()),
                 }
             };
             match self.call.attempt(target, last_id.as_deref()).await {
@@ -233,15 +252,23 @@
                     return Ok(());
                 }
                 AttemptResult::Answered(_) | AttemptResult::Failed(_) => {}
-                AttemptResult::Expired => return Err(Truncated),
+                AttemptResult::Expired => return Err(self.expiry()),
                 AttemptResult::CallerGone => {
                     self.call.leave();
-                    return Err(Truncated);
+                    return Err(Break::Target);
                 }
             }
         }
     }
 
+    /// Returns why the pool or the process has ended the request.
+    fn expiry(&self) -> Break {
+        match self.call.process.is_closing() {
+            true => Break::Stop,
+            false => Break::Deadline,
+        }
+    }
+
     /// Returns whether an answer is of the same kind as the one that it is to continue.
     fn is_continued_by(&self, answer: &Answer) -> bool {
         let headers = &answer.head.headers;
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -60,7 +60,10 @@
 };
 use crate::{
     feed::EvacuationSource,
-    ids::Position,
+    ids::{
+        Position,
+        Time, //
+    },
     pool::{
         ColdStatus,
         MemoryBudget,
@@ -328,9 +331,11 @@
             .saturating_sub(STOP_MARGIN);
         self.process.stop(begun + limit);
         let requests = self.process.pool.borrow().active();
+        let late = begun.saturating_sub(self.process.earliest_arrival(Duration::ZERO));
         log::info!(
-            "event=stopping requests={requests} connections={}",
-            self.callers.memory.connections()
+            "event=stopping requests={requests} connections={} late_ms={}",
+            self.callers.memory.connections(),
+            late.as_millis(),
         );
         let elapsed = || self.process.clock.now().saturating_sub(begun);
         while elapsed() < ACCEPT_GRACE.min(limit) {
@@ -354,7 +359,7 @@
             }
         }
         for unanswered in self.callers.take_unanswered() {
-            log_cut(&self.process, &unanswered, "stop-timeout");
+            log_cut(&self.process, &unanswered, "stop-timeout", None);
         }
         log::info!("event=stop connections={left}");
         left == 0
@@ -519,7 +524,8 @@
         process.count_closed(cause);
     }
     if let Some(unanswered) = exchange.take() {
-        log_cut(&process, &unanswered, cut_cause(&ended));
+        let seen = Some(presence.seen());
+        log_cut(&process, &unanswered, cut_cause(&ended), seen);
     }
 }
 
@@ -545,15 +551,18 @@
     }
 }
 
-/// Logs and counts a request whose connection ended before its answer was complete.
+/// Logs and counts a request whose connection ended before its answer was complete; `seen` is when
+/// its caller was last known to be there.
 #[cold]
-fn log_cut(process: &Process, unanswered: &Unanswered, cause: &str) {
+fn log_cut(process: &Process, unanswered: &Unanswered, cause: &str, seen: Option<Time>) {
     process.metrics.count_cut(cause);
+    let age = seen.map(|seen| process.clock.now().saturating_sub(seen));
     log::info!(
-        "event=cut request={} cause={cause} stage={} stopping={}",
+        "event=cut request={} cause={cause} stage={} stopping={} caller_age_ms={}",
         unanswered.request,
         unanswered.stage,
         process.is_stopping(),
+        age.map_or(-1, |age| age.as_millis() as i64),
     );
 }
 
--- a/src/story/terms.rs
+++ b/src/story/terms.rs
@@ -128,6 +128,13 @@
         "broken" => {
             "Its stream broke and was not continued; the attempts below show where and why."
         }
+        "cut-deadline" => {
+            "Its time was over before its answer was complete. If `unread_ms` is large, the process \
+             lacked processor time when it read the request."
+        }
+        "cut-stop" => {
+            "The process ended before its answer was complete; `stopping` says when the stop began."
+        }
         "caller-gone" => "The caller left before the end; the work was stopped.",
         lost if lost.starts_with("lost-") => {
             "The target was lost after the request was sent; it may have run, and its route does \
