End requests only when their callers no longer wait, whenever they arrived

Cause: a late gateway knows two bounds of a request's arrival. The deadline is counted from the earlier one, which is right for what a target is told and for refusals, as both must be safe if the caller has left. The pool's timer took the same figure to end attempts and answers in hand, which must be safe if the caller is still there. That needs the later bound: the deadline plus the time for which the request may have lain unread.

A caller that has left closes its connection, which ends the work as before, so nothing runs on for longer than until the gateway notices. A gateway that is in time has no such interval.

--- a/src/pool/core.rs
+++ b/src/pool/core.rs
@@ -414,7 +414,7 @@
             member.unanswered.crashed = false;
         }
         self.warmup.record_reached(now, target, sent);
-        let (service, deadline) = (request.spec.service, request.spec.deadline);
+        let (service, deadline) = (request.spec.service, request.spec.latest_deadline());
         // The wait in the queue is not the target's.
         let timely = now <= sent + request.spec.objective;
         if request.spec.prompt.is_some() {
@@ -538,7 +538,7 @@
         let spec = &self.requests[&sequence].spec;
         let (service, account) = (spec.service, spec.account);
         let silent_at = now + spec.objective * SILENCE_OBJECTIVES;
-        let timer = silent_at.min(spec.deadline);
+        let timer = silent_at.min(spec.latest_deadline());
         let work = self.work(sequence);
         let state = self.service_mut(service);
         state.queue.remove(account, sequence);
--- a/src/pool/model.rs
+++ b/src/pool/model.rs
@@ -208,7 +208,7 @@
         /// The request.
         sequence: Sequence,
     },
-    /// End a request whose deadline has passed.
+    /// End a request whose caller no longer waits, whenever the request arrived.
     Expire {
         /// The request.
         sequence: Sequence,
--- a/src/pool/request.rs
+++ b/src/pool/request.rs
@@ -49,9 +49,11 @@
     pub attempts: u32,
     /// The latency objective: the time from arrival to the first byte that is aimed for.
     pub objective: Duration,
-    /// When the request must have ended.
+    /// The earliest time at which the caller may stop waiting, as if the request had arrived at the
+    /// earliest possible time.
     pub deadline: Time,
-    /// How late this process read the request.
+    /// How late this process may have read the request: the time between the earliest at which it
+    /// can have arrived and the one at which it was read.
     pub read_delay: Duration,
     /// How long the caller waits for the first byte, where it may give up before the deadline.
     pub client_timeout: Option<Duration>,
@@ -59,6 +61,26 @@
     pub prompt: Option<Prompt>,
 }
 
+impl RequestSpec {
+    /// Returns the latest time until which the caller may wait. Only then is work for it in vain: an
+    /// answer that is ended before may still be wanted.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use redwingyard::pool::RequestSpec;
+    ///
+    /// let spec = RequestSpec {
+    ///     deadline: Duration::from_millis(3_000),
+    ///     read_delay: Duration::from_millis(200),
+    ///     ..RequestSpec::default()
+    /// };
+    /// assert_eq!(spec.latest_deadline(), Duration::from_millis(3_200));
+    /// ```
+    pub fn latest_deadline(&self) -> Time {
+        self.deadline + self.read_delay
+    }
+}
+
 impl PromptPart {
     /// Creates the parts of a prompt from their names and their lengths in tokens.
     ///
--- a/src/pool/timer.rs
+++ b/src/pool/timer.rs
@@ -60,7 +60,7 @@
         let Some(request) = self.requests.get(&sequence) else {
             return;
         };
-        let deadline = request.spec.deadline;
+        let deadline = request.spec.latest_deadline();
         match &request.stage {
             Stage::Waiting if request.reached > 0 => self.refuse(now, sequence, Refusal::Attempts),
             Stage::Waiting => self.refuse(now, sequence, Refusal::Waited),
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -121,13 +121,13 @@
         now.saturating_sub(self.request.arrived)
     }
 
-    /// Returns the time left until the request's deadline.
+    /// Returns the time for which the caller waits at least.
     pub(super) fn time_left(&self) -> Duration {
         let now = self.process.clock.now();
         self.request.deadline.saturating_sub(now)
     }
 
-    /// Returns whether the caller may still wait: its request may have arrived as late as it was read.
+    /// Returns whether the caller may still wait, as the request may have arrived when it was read.
     fn is_wanted(&self) -> bool {
         self.process.clock.now() < self.request.deadline + self.request.unread
     }
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -130,7 +130,7 @@
     /// Refuse the request, which has not run, and tell the caller to retry after this time.
     Refuse(Refusal, Duration),
     Abandon,
-    /// End the request: its deadline has passed.
+    /// End the request: its caller no longer waits, or this process ends.
     Expire,
 }
 
