Date a graceful stop by the earliest time at which its signal can have come

The stop now begins at the earliest arrival of the signal, which the due time of the last tick bounds, and ends sooner by as much as the signal may have lain unnoticed, because the process may be as late again when it ends; that reserve takes at most half of what is left, so that a process that was frozen for long does not end everything at once. Connections are accepted for as long as before after the signal was noticed, as the readiness checks fail only from then on, but never past the stop's end.

--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -41,6 +41,7 @@
 mod slow_start;
 mod spare;
 mod speed;
+mod stop;
 mod suspect;
 mod throttle;
 mod timer;
@@ -115,6 +116,10 @@
     EngineSpeed,
     MAX_SLOWDOWNS, //
 };
+pub use stop::{
+    STOP_MARGIN,
+    Stop, //
+};
 pub use usage::{
     Hold,
     RecentService,
--- /dev/null
+++ b/src/pool/stop.rs
@@ -0,0 +1,48 @@
+//! The bounds of a graceful stop, which end when the platform kills the process.
+
+use std::time::Duration;
+
+use crate::ids::Time;
+
+/// The part of the stop timeout that is reserved for the process to exit.
+pub const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// The time between the earliest date of the signal of a stop and the last moment at which requests
+/// may end.
+///
+/// The platform counts the timeout from when it sent the signal, which is not known here. A process
+/// that lacks processor time notices the signal late, and may be as late again when it ends.
+///
+/// ```
+/// use std::time::Duration;
+/// use redwingyard::pool::{STOP_MARGIN, Stop};
+///
+/// let (begun, noticed) = (Duration::from_secs(60), Duration::from_millis(60_500));
+/// let stop = Stop::new(begun, noticed, Duration::from_secs(8));
+/// assert_eq!(stop.end(), Duration::from_millis(67_500) - STOP_MARGIN);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    end: Time,
+}
+
+impl Stop {
+    /// Creates the bounds of a stop whose signal came at `begun` at the earliest and was noticed at
+    /// `noticed`. The process is killed `timeout` after the signal.
+    ///
+    /// As much time as the signal lay unnoticed is reserved at the end, but at most half of what is
+    /// left.
+    pub fn new(begun: Time, noticed: Time, timeout: Duration) -> Self {
+        let end = begun + timeout.saturating_sub(STOP_MARGIN);
+        let late = noticed.saturating_sub(begun);
+        let left = end.saturating_sub(noticed);
+        Self {
+            end: end - late.min(left / 2),
+        }
+    }
+
+    /// Returns when every request must have ended.
+    pub fn end(&self) -> Time {
+        self.end
+    }
+}
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -65,6 +65,7 @@
         RunTimes,
         Settings,
         Standing,
+        Stop,
         part_id, //
     },
     replica::replaces,
@@ -159,8 +160,8 @@
     connections: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// The state shared with the thread that reads the store.
     pub(super) store: Arc<StoreState>,
-    /// The end of a graceful stop that has begun.
-    stop_end: Cell<Option<Time>>,
+    /// The bounds of a graceful stop that has begun.
+    stop: Cell<Option<Stop>>,
     /// How long requests take.
     run_times: RefCell<RunTimes>,
     /// `None` once every request that has not ended is to be ended.
@@ -219,7 +220,7 @@
             decisions: RefCell::default(),
             connections: RefCell::default(),
             store: Arc::default(),
-            stop_end: Cell::new(None),
+            stop: Cell::new(None),
             run_times: RefCell::default(),
             open: RefCell::new(Some(open)),
             closed: closed.shared(),
@@ -424,19 +425,18 @@
         refused && self.pool.borrow().states_speed() && !self.is_ready()
     }
 
-    /// Begins a graceful stop that ends at a time. Until then, requests that are expected to end in
-    /// time are served.
-    pub(super) fn stop(&self, end: Time) {
-        self.stop_end.set(Some(end));
+    /// Begins a graceful stop.
+    pub(super) fn stop(&self, stop: Stop) {
+        self.stop.set(Some(stop));
     }
 
     pub(super) fn is_stopping(&self) -> bool {
-        self.stop_end.get().is_some()
+        self.stop.get().is_some()
     }
 
     /// Returns the end of a graceful stop that has begun.
     pub(super) fn stop_end(&self) -> Option<Time> {
-        self.stop_end.get()
+        self.stop.get().map(|stop| stop.end())
     }
 
     /// Returns whether a request of a route that is sent now is expected to end before this process
@@ -445,7 +445,7 @@
         if self.is_closing() {
             return false;
         }
-        let Some(end) = self.stop_end.get() else {
+        let Some(end) = self.stop_end() else {
             return true;
         };
         let unknown = match route.stream {
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -68,6 +68,7 @@
         ColdStatus,
         MemoryBudget,
         PartStatus,
+        Stop,
         part_id, //
     },
     rules::{
@@ -108,14 +109,12 @@
     }, //
 };
 
-/// The time after the start of a graceful stop in which connections are still accepted: two
+/// The time after a graceful stop was noticed in which connections are still accepted: two
 /// readiness checks a second apart, and the time until the platform acts on the second one.
 const ACCEPT_GRACE: Duration = Duration::from_millis(2_600);
 
-/// The part of the stop timeout that is reserved for the process to exit.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
-
-/// The part of [`STOP_MARGIN`] in which the answers to requests that have not ended are written.
+/// The part of [`STOP_MARGIN`](crate::pool::STOP_MARGIN) in which the answers to requests that have
+/// not ended are written.
 const CLOSE_GRACE: Duration = Duration::from_millis(250);
 
 /// The interval at which a process that closes checks whether its answers are written.
@@ -320,32 +319,31 @@
     /// At first the gateway reports that it is not ready, so that the platform sends callers
     /// elsewhere; it still accepts connections, and each answer closes its connection. Then no
     /// connection is accepted and idle ones are closed. A request that is not expected to end before
-    /// the stop timeout is nearly over is refused. One that has not ended then is answered as expired,
-    /// or as refused if it is not at a target, and the process ends when the answers are written.
+    /// the stop timeout, counted from the earliest time at which the signal can have come, is nearly
+    /// over is refused. One that has not ended then is answered as expired, or as refused if it is not
+    /// at a target, and the process ends when the answers are written.
     pub async fn drain(self) -> bool {
-        let begun = self.process.clock.now();
-        let limit = self
-            .process
-            .settings
-            .stop_timeout()
-            .saturating_sub(STOP_MARGIN);
-        self.process.stop(begun + limit);
+        let noticed = self.process.clock.now();
+        let begun = self.process.earliest_arrival(Duration::ZERO);
+        let stop = Stop::new(begun, noticed, self.process.settings.stop_timeout());
+        self.process.stop(stop);
         let requests = self.process.pool.borrow().active();
-        let late = begun.saturating_sub(self.process.earliest_arrival(Duration::ZERO));
+        let late = noticed.saturating_sub(begun);
         log::info!(
             "event=stopping requests={requests} connections={} late_ms={}",
             self.callers.memory.connections(),
             late.as_millis(),
         );
-        let elapsed = || self.process.clock.now().saturating_sub(begun);
-        while elapsed() < ACCEPT_GRACE.min(limit) {
+        let now = || self.process.clock.now();
+        let end = stop.end();
+        while now() < end.min(noticed + ACCEPT_GRACE) {
             sleep(TICK_INTERVAL).await;
         }
         // If the event loop was late just now, this lets it accept the connections that were opened
         // meanwhile.
         sleep(TICK_INTERVAL).await;
         self.callers.closed.set(true);
-        while self.callers.memory.connections() > 0 && elapsed() < limit {
+        while self.callers.memory.connections() > 0 && now() < end {
             self.callers.start_shutdown();
             sleep(TICK_INTERVAL).await;
         }
@@ -354,7 +352,7 @@
             self.process.close();
             // The requests' tasks run before their answers can be written.
             sleep(CLOSE_INTERVAL).await;
-            while self.callers.has_unanswered() && elapsed() < limit + CLOSE_GRACE {
+            while self.callers.has_unanswered() && now() < end + CLOSE_GRACE {
                 sleep(CLOSE_INTERVAL).await;
             }
         }
