Admit only requests that surely end in the later part of a graceful stop

Callers got answers that had begun and were cut at the end of a gateway's stop. A request was let in at any time of the stop if its route's mean time and four mean deviations fitted into the rest. Such cuts are a loss for requests that are sent later than 3 s after the signal.

The expectation now decides only for 2.6 s from the earliest date of the signal, in which callers still come because the platform has not acted on the readiness checks. After that a request is admitted only if its latest deadline, reckoned from the latest time at which it can have arrived, is not after the end of the stop; then it ends in time whatever its target does. Such a request is also admitted earlier, whatever its route usually takes. The others get 503 with a retry time, before their bodies are read and once more after that.

hyper closes a connection on which nothing was sent at the first `graceful_shutdown`, so late requests come only on connections that have sent a part of one.

--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -117,6 +117,7 @@
     MAX_SLOWDOWNS, //
 };
 pub use stop::{
+    ACCEPT_GRACE,
     STOP_MARGIN,
     Stop, //
 };
--- a/src/pool/stop.rs
+++ b/src/pool/stop.rs
@@ -7,6 +7,11 @@
 /// The part of the stop timeout that is reserved for the process to exit.
 pub const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// The time after the signal of a stop in which callers that have not been told still send requests
+/// and open connections: two readiness checks a second apart, and the time until the platform acts on
+/// the second one.
+pub const ACCEPT_GRACE: Duration = Duration::from_millis(2_600);
+
 /// The time between the earliest date of the signal of a stop and the last moment at which requests
 /// may end.
 ///
@@ -20,9 +25,14 @@
 /// let (begun, noticed) = (Duration::from_secs(60), Duration::from_millis(60_500));
 /// let stop = Stop::new(begun, noticed, Duration::from_secs(8));
 /// assert_eq!(stop.end(), Duration::from_millis(67_500) - STOP_MARGIN);
+///
+/// let (latest, expected) = (Duration::from_secs(69), Duration::from_secs(1));
+/// assert!(stop.admits(noticed, latest, expected));
+/// assert!(!stop.admits(Duration::from_secs(63), latest, expected));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
+    begun: Time,
     end: Time,
 }
 
@@ -37,6 +47,7 @@
         let late = noticed.saturating_sub(begun);
         let left = end.saturating_sub(noticed);
         Self {
+            begun,
             end: end - late.min(left / 2),
         }
     }
@@ -45,4 +56,14 @@
     pub fn end(&self) -> Time {
         self.end
     }
+
+    /// Returns whether a request may begin that must have ended at `latest` and is expected to take
+    /// `expected`.
+    ///
+    /// While callers still come that have not been told of the stop, an expectation is enough. After
+    /// that, only a request is admitted that ends by its deadline before the stop does.
+    pub fn admits(&self, now: Time, latest: Time, expected: Duration) -> bool {
+        let is_early = now < self.begun + ACCEPT_GRACE;
+        latest <= self.end || is_early && now + expected < self.end
+    }
 }
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -160,11 +160,12 @@
         return Err(refuse_unusable(process, &envelope, "unusable-route"));
     }
     let account = authenticate(process, &rules, route, &envelope)?;
-    if !process.can_finish(route) {
-        return Err(refuse_stopping(process, &envelope));
-    }
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
+    let latest = deadline + unread;
+    if !process.admits(route, latest) {
+        return Err(refuse_stopping(process, &envelope));
+    }
     let max_bytes = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY as u64);
     let left = deadline.saturating_sub(process.clock.now());
     let pause = rules.limit(Limit::IdleTime);
@@ -176,7 +177,7 @@
     };
     let body = read_body(process, &envelope, body, limit, watch).await?;
     // A stop may have begun while the body arrived.
-    if !process.can_finish(route) {
+    if !process.admits(route, latest) {
         return Err(refuse_stopping(process, &envelope));
     }
     let spec = RequestSpec {
@@ -305,7 +306,7 @@
     problem::unknown(StatusCode::BAD_GATEWAY, "gateway-failed", detail)
 }
 
-/// Refuses a request that can't end before this process does.
+/// Refuses a request that may not end before this process does.
 #[cold]
 fn refuse_stopping(process: &Process, envelope: &Envelope) -> Rejection {
     let left = process.stop_end().unwrap_or_default();
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -439,13 +439,12 @@
         self.stop.get().map(|stop| stop.end())
     }
 
-    /// Returns whether a request of a route that is sent now is expected to end before this process
-    /// does.
-    pub(super) fn can_finish(&self, route: &Route) -> bool {
+    /// Returns whether a request of a route may begin that must have ended at `latest`.
+    pub(super) fn admits(&self, route: &Route, latest: Time) -> bool {
         if self.is_closing() {
             return false;
         }
-        let Some(end) = self.stop_end() else {
+        let Some(stop) = self.stop.get() else {
             return true;
         };
         let unknown = match route.stream {
@@ -453,7 +452,7 @@
             false => route.objective(),
         };
         let expected = self.run_times.borrow().expected(id(&route.name));
-        self.clock.now() + expected.unwrap_or(unknown) < end
+        stop.admits(self.clock.now(), latest, expected.unwrap_or(unknown))
     }
 
     /// Records how long a request of a route took from its arrival to the end of its answer.
--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -65,6 +65,7 @@
         Time, //
     },
     pool::{
+        ACCEPT_GRACE,
         ColdStatus,
         MemoryBudget,
         PartStatus,
@@ -109,10 +110,6 @@
     }, //
 };
 
-/// The time after a graceful stop was noticed in which connections are still accepted: two
-/// readiness checks a second apart, and the time until the platform acts on the second one.
-const ACCEPT_GRACE: Duration = Duration::from_millis(2_600);
-
 /// The part of [`STOP_MARGIN`](crate::pool::STOP_MARGIN) in which the answers to requests that have
 /// not ended are written.
 const CLOSE_GRACE: Duration = Duration::from_millis(250);
@@ -318,10 +315,10 @@
     ///
     /// At first the gateway reports that it is not ready, so that the platform sends callers
     /// elsewhere; it still accepts connections, and each answer closes its connection. Then no
-    /// connection is accepted and idle ones are closed. A request that is not expected to end before
-    /// the stop timeout, counted from the earliest time at which the signal can have come, is nearly
-    /// over is refused. One that has not ended then is answered as expired, or as refused if it is not
-    /// at a target, and the process ends when the answers are written.
+    /// connection is accepted and idle ones are closed. The stop ends shortly before the stop timeout,
+    /// counted from the earliest time at which the signal can have come. A request that [`Stop`] does
+    /// not admit is refused. One that has not ended at the end of the stop is answered as expired, or as
+    /// refused if it is not at a target, and the process ends when the answers are written.
     pub async fn drain(self) -> bool {
         let noticed = self.process.clock.now();
         let begun = self.process.earliest_arrival(Duration::ZERO);
