Close the listener of a stopping gateway, so that late callers are refused at once

While fewer than half of a failure domain is in rotation the platform uses all of it, so callers are sent to gateways that stop.

Cause: 2.6 s after the signal accepting ended, but the listener stayed open until the process exited. A caller was connected by the kernel, sent its request into the listen queue and was reset up to 5 s later; the first one was accepted and dropped.

Now what waits is accepted, and answered or refused as any request in a stop, and then the listener closes. Later callers are refused a connection, which tells them at once to try elsewhere.

--- a/src/shell/gateway/serve.rs
+++ b/src/shell/gateway/serve.rs
@@ -1,10 +1,7 @@
 //! The listeners of a gateway, its start and its graceful shutdown.
 
 use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
+    cell::RefCell,
     net::{
         IpAddr,
         SocketAddr, //
@@ -30,8 +27,10 @@
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::{
+    FutureExt,
     future::{
         Either,
+        Shared,
         select, //
     },
     poll, //
@@ -146,8 +145,10 @@
     memory: MemoryBudget,
     /// The number of connections beyond which each is closed after a refusal.
     max_connections: usize,
-    /// Whether accepting has ended.
-    closed: Cell<bool>,
+    /// `None` once no more connections are to be accepted than those that wait.
+    accepting: RefCell<Option<oneshot::Sender<()>>>,
+    /// Ends when `accepting` is dropped.
+    accept_end: Shared<oneshot::Receiver<()>>,
     /// Tells each connection to shut down gracefully.
     shutdowns: RefCell<OpenList<oneshot::Sender<()>>>,
     /// What the connections that are open send.
@@ -158,10 +159,12 @@
 
 impl CallerConnections {
     fn new(max_connections: usize, memory: MemoryBudget) -> Self {
+        let (accepting, accept_end) = oneshot::channel();
         Self {
             memory,
             max_connections,
-            closed: Cell::new(false),
+            accepting: RefCell::new(Some(accepting)),
+            accept_end: accept_end.shared(),
             shutdowns: RefCell::default(),
             watches: CallerWatches::default(),
             exchanges: RefCell::default(),
@@ -198,6 +201,15 @@
         open.filter_map(|exchange| exchange.take()).collect()
     }
 
+    /// Ends accepting: the connections that wait are the last ones, and the listener closes.
+    fn end_accepting(&self) {
+        self.accepting.take();
+    }
+
+    fn is_accepting(&self) -> bool {
+        self.accepting.borrow().is_some()
+    }
+
     /// Closes idle connections at once, and the others after their current request.
     fn start_shutdown(&self) {
         for shutdown in self.shutdowns.borrow_mut().take() {
@@ -336,10 +348,9 @@
         while now() < end.min(noticed + ACCEPT_GRACE) {
             sleep(TICK_INTERVAL).await;
         }
-        // If the event loop was late just now, this lets it accept the connections that were opened
-        // meanwhile.
+        self.callers.end_accepting();
+        // This lets the connections be accepted that wait.
         sleep(TICK_INTERVAL).await;
-        self.callers.closed.set(true);
         while self.callers.memory.connections() > 0 && now() < end {
             self.callers.start_shutdown();
             sleep(TICK_INTERVAL).await;
@@ -400,13 +411,18 @@
     }
 }
 
-/// Accepts connections of callers, and pauses while there is no room for another one.
+/// Accepts connections of callers, and pauses while there is no room for another one. When accepting
+/// ends, the listener is dropped, so that later callers are refused a connection and can try
+/// elsewhere at once.
 async fn accept(process: Rc<Process>, callers: Rc<CallerConnections>, listener: Rc<TcpListener>) {
     // The last time at which no connection was waiting to be accepted. It is not updated while
     // accepting is paused, because the queue of new connections is not checked then.
     let mut last_empty = process.clock.now();
     loop {
         while callers.is_full() {
+            if !callers.is_accepting() {
+                return;
+            }
             process.at_capacity.set(true);
             callers.watches.evict(process.clock.now());
             sleep(TICK_INTERVAL).await;
@@ -415,13 +431,17 @@
         let mut accept = std::pin::pin!(listener.accept());
         let accepted = match poll!(accept.as_mut()) {
             Poll::Ready(accepted) => accepted,
+            Poll::Pending if !callers.is_accepting() => return,
             Poll::Pending => {
                 last_empty = process.clock.now();
-                accept.await
+                match select(accept, callers.accept_end.clone()).await {
+                    Either::Left((accepted, _)) => accepted,
+                    // Connections that have come meanwhile are accepted by the next try.
+                    Either::Right(_) => continue,
+                }
             }
         };
         match accepted {
-            Ok(_) if callers.closed.get() => return,
             Ok((stream, address)) => {
                 process.count_accepted();
                 let process = process.clone();
