Count a caller's timeout at a router from its head, not from its body

Callers whose bodies arrived slowly were kept waiting for up to twice their `x-timeout-ms`: the body had to arrive within it, and the router counted the whole timeout again once the body was read. Such a caller was answered after its own time, and a target worked for it meanwhile.

The router now takes the time at which it has read the head, and passes what is left of the timeout to its state machine. A request whose time has passed while its body was read, as in a late process, is refused as `deadline` and not as `timeout`: it is not sent to a target. The time is never counted from before the head has arrived, so no answer is ended before its caller's deadline by this.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -217,8 +217,8 @@
 
     /// Accepts a request and returns its sequence number and the actions to carry out.
     ///
-    /// The request is refused at once while the router drains, or if the expected wait in its
-    /// queue exceeds its timeout.
+    /// The request is refused at once while the router drains, or if its timeout is zero or exceeded
+    /// by the expected wait in its queue.
     ///
     /// ```
     /// use std::{rc::Rc, time::Duration};
@@ -271,6 +271,8 @@
         self.requests.insert(sequence, request);
         if self.draining {
             self.refuse(sequence, Cause::Draining, Ran::No);
+        } else if timeout.is_zero() {
+            self.refuse(sequence, Cause::Deadline, Ran::No);
         } else if self.queues.expected_wait(queue_id) > timeout {
             self.refuse(sequence, Cause::Overload, Ran::No);
         } else {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -38,7 +38,7 @@
     pub key: Option<IdempotencyKey>,
     /// The hash of the conversation that the request continues.
     pub conversation: Option<u64>,
-    /// The longest time from its arrival to the first byte of the answer.
+    /// What is left, now that its body is read, of the time to the first byte of the answer.
     pub timeout: Duration,
 }
 
--- a/src/shell/front.rs
+++ b/src/shell/front.rs
@@ -102,6 +102,7 @@
     body: &mut Incoming,
     watch: &CallerWatch,
 ) -> Result<RequestSpec, Rejection> {
+    let arrived = process.clock.now();
     let account = authenticate(process, &parts.headers)?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let (service, rest) = split_path(path).ok_or_else(|| {
@@ -129,6 +130,7 @@
     };
     let key = read_key(account, service, &parts.headers, &head, &body)?;
     let conversation = parts.headers.get(CONVERSATION_FIELD);
+    let elapsed = process.clock.now().saturating_sub(arrived);
     Ok(RequestSpec {
         account,
         service: id(service),
@@ -137,7 +139,7 @@
         conversation: conversation.map(|value| xxh3_64(value.as_bytes())),
         head: Rc::new(head),
         body,
-        timeout: time_limit,
+        timeout: time_limit.saturating_sub(elapsed),
     })
 }
 
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -394,6 +394,22 @@
     assert!(outputs.contains(&Output::Drained));
 }
 
+/// A request whose time had passed while its body was read was sent to a target.
+#[test]
+fn request_whose_time_has_passed_on_arrival_is_not_dispatched() {
+    let mut router = router(Bounds::default());
+    link_up(&mut router, secs(0), 7, 70);
+    offer(&mut router, secs(0), 7, 1);
+    let mut late = spec(1, true);
+    late.timeout = secs(0);
+    let (sequence, outputs) = router.arrive(secs(0), late);
+    assert_eq!(dispatched(&outputs), None);
+    let [Reply::Refuse(refusal)] = replies(&outputs, sequence)[..] else {
+        panic!("{outputs:?}");
+    };
+    assert_eq!((refusal.cause, refusal.ran), (Cause::Deadline, Ran::No));
+}
+
 #[test]
 fn request_whose_expected_wait_exceeds_its_timeout_is_refused_at_once() {
     let mut router = router(Bounds::default());
