Let a router that stops wait for callers who still send or read

Callers at a router that was stopped got no answer, or a cut one, long before its `drain_ms`: the stop was over 0.2 s after the last request had ended for the state machine. That is when the end of an answer has arrived from its sidecar, whether or not its caller has read it, and a request whose body is still arriving is not counted at all.

Once the state machine has no request left, the router now shuts its callers' connections down gracefully, as gateways do, and waits for those that have had a request until they are closed: hyper closes an idle one at once, and the others when their answer is written. A body that comes whole in this time is answered 503 `draining`. The bound stays `drain_ms`; a stop that reaches it returns false, also for a caller that does not read. Connections that have never had a request are not waited for.

--- a/src/shell/router.rs
+++ b/src/shell/router.rs
@@ -2,7 +2,10 @@
 //! configuration service.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::{
         BTreeMap,
         HashMap, //
@@ -31,10 +34,17 @@
     Error,
     From, //
 };
-use futures_channel::mpsc::{
-    UnboundedReceiver,
-    UnboundedSender,
-    unbounded, //
+use futures_channel::{
+    mpsc::{
+        UnboundedReceiver,
+        UnboundedSender,
+        unbounded, //
+    },
+    oneshot, //
+};
+use futures_util::future::{
+    Either,
+    select, //
 };
 use hyper::{
     Request,
@@ -66,6 +76,7 @@
         self,
         MEASURE_INTERVAL, //
     },
+    open_list::OpenList,
     platform::Watch,
     rules_sync::{
         Adopted,
@@ -150,9 +161,13 @@
     /// The links to other routers.
     peers: Links<ids::Router>,
     /// The channels that are notified once every request has ended after a drain.
-    drain_waiters: RefCell<Vec<futures_channel::oneshot::Sender<()>>>,
+    drain_waiters: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Tells each caller's connection to shut down gracefully.
+    shutdowns: RefCell<OpenList<oneshot::Sender<()>>>,
+    /// The number of callers' connections that are open and have had a request.
+    used_connections: Rc<Cell<usize>>,
     /// Whether a graceful shutdown has started.
-    stopping: std::cell::Cell<bool>,
+    stopping: Cell<bool>,
     pub(super) memory: MemoryBudget,
 }
 
@@ -202,6 +217,14 @@
         self.step(Input::Consumed(sequence, bytes));
     }
 
+    /// Closes the callers' connections that are idle, and the others after their current request.
+    fn start_shutdown(&self) {
+        for shutdown in self.shutdowns.borrow_mut().take() {
+            // Fails only if the connection has closed already.
+            let _ = shutdown.send(());
+        }
+    }
+
     pub(super) fn is_stopping(&self) -> bool {
         self.stopping.get()
     }
@@ -335,7 +358,9 @@
             sidecars: Links::new(),
             peers: Links::new(),
             drain_waiters: RefCell::default(),
-            stopping: std::cell::Cell::new(false),
+            shutdowns: RefCell::default(),
+            used_connections: Rc::default(),
+            stopping: Cell::new(false),
             memory,
         });
         log::info!(
@@ -361,20 +386,27 @@
         })
     }
 
-    /// Refuses new requests and waits until all others have ended, or until the time `drain_ms` of
-    /// the settings has passed; those that have not ended then are refused or broken off. Returns
-    /// whether all requests have ended by themselves.
+    /// Refuses new requests and waits until all others have ended and all answers are written, or
+    /// until the time `drain_ms` of the settings has passed; requests that have not ended then are
+    /// refused or broken off. Returns whether all have ended by themselves.
     pub async fn drain(&self) -> bool {
         self.process.stopping.set(true);
         log::info!("event=drain role=router");
-        let (sender, receiver) = futures_channel::oneshot::channel();
+        let (sender, receiver) = oneshot::channel();
         self.process.drain_waiters.borrow_mut().push(sender);
         self.process.step(Input::Drain);
         let limit = Duration::from_millis(self.process.settings.drain_ms);
-        let drained = compio::time::timeout(limit, receiver).await.is_ok();
-        if !drained {
+        let end = self.process.clock.now() + limit;
+        let ended = compio::time::timeout(limit, receiver).await.is_ok();
+        if !ended {
             self.process.step(Input::Close);
         }
+        let used_connections = &self.process.used_connections;
+        while used_connections.get() > 0 && self.process.clock.now() < end {
+            self.process.start_shutdown();
+            sleep(TICK_INTERVAL).await;
+        }
+        let drained = ended && used_connections.get() == 0;
         // Gives the last answers and acknowledgements time to be sent.
         sleep(DIAL_PAUSE).await;
         log::info!("event=stop role=router drained={drained}");
@@ -606,6 +638,22 @@
     }
 }
 
+/// Counts a caller's connection that has had a request until it is closed.
+struct UsedConnection(Rc<Cell<usize>>);
+
+impl UsedConnection {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Serves the requests of one caller's connection until it is closed.
 async fn serve_caller(
     process: &Rc<Process>,
@@ -620,10 +668,13 @@
         Err(err) => return log::warn!("event=accept-failed error=\"{err}\""),
     };
     let reset = stream.reset_handle();
+    let used = RefCell::new(None);
     let service = service_fn(|request: Request<Incoming>| {
         let (version, reset) = (request.version(), reset.clone());
         let watch = watch.clone();
         watch.begin_request();
+        used.borrow_mut()
+            .get_or_insert_with(|| UsedConnection::new(&process.used_connections));
         async move {
             let response = front::handle(process.clone(), request, watch).await;
             let mut response = body::for_version(response, version, &reset);
@@ -637,7 +688,19 @@
         // hyper's timeout also covers the idle time before a head begins.
         .header_read_timeout(IDLE_LIMIT)
         .serve_connection(stream, service);
-    if let Err(err) = connection.await {
+    let (shutdown, shutdown_signal) = oneshot::channel();
+    process
+        .shutdowns
+        .borrow_mut()
+        .push(shutdown, |shutdown| !shutdown.is_canceled());
+    let ended = match select(std::pin::pin!(connection), shutdown_signal).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right((_, mut connection)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = ended {
         log::debug!("event=caller-connection error=\"{err}\"");
     }
 }
