List what stops and late event loops of routers and sidecars still do wrong

Callers of a router that is late for 1.2 s while a sidecar stops get an answer that is cut, although the sidecar has all of it: the sidecar's stop is over 0.2 s after its last run has ended at the target, and what its router has not taken by then is lost. It is ignored and listed: a mend needs a stop that waits for acknowledgements, also over a link that is replaced meanwhile.

--- a/tests/router_stops.rs
+++ b/tests/router_stops.rs
@@ -1,4 +1,4 @@
-//! Tests of what a stop of a router does with requests whose callers still send or read.
+//! Tests of what a stop of a router or a sidecar does with requests and answers in hand.
 
 #[path = "../examples/standin/mod.rs"]
 mod standin;
@@ -53,10 +53,16 @@
 /// The time for which a caller does not read after a stop has begun.
 const READ_PAUSE: Duration = Duration::from_millis(800);
 
+/// The time after which the target begins an answer whose path asks for a late one.
+const LATE_TIME: Duration = Duration::from_millis(600);
+
+/// A time for which a router is not there, in which its links stay open.
+const STALL_TIME: Duration = Duration::from_millis(1_200);
+
 /// A router with two targets and their sidecars.
 struct Cluster {
     router: Handle,
-    _sidecars: Vec<Handle>,
+    sidecars: Vec<Handle>,
 }
 
 impl Cluster {
@@ -71,8 +77,14 @@
             std::future::pending::<()>().await;
         });
         let large = raw::serve(|exchange| {
-            let size = exchange.path.split('/').nth(1);
+            let size = exchange
+                .path
+                .split('/')
+                .find(|part| part.parse::<usize>().is_ok());
             let size: usize = size.and_then(|size| size.parse().ok()).unwrap_or_default();
+            if exchange.path.starts_with("/late/") {
+                thread::sleep(LATE_TIME);
+            }
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n");
             (head + &"x".repeat(size), Next::Keep)
         });
@@ -93,7 +105,7 @@
         }
         Self {
             router,
-            _sidecars: sidecars.into(),
+            sidecars: sidecars.into(),
         }
     }
 }
@@ -197,3 +209,18 @@
         "{text:?}"
     );
 }
+
+/// A sidecar that stops doesn't wait until a late router has taken its answers.
+#[test]
+#[ignore = "red: KNOWN-RED.txt, issue 66"]
+fn a_stopping_sidecar_hands_its_answers_to_a_late_router() {
+    let mut cluster = Cluster::start();
+    let mut caller = Caller::connect(cluster.router.addresses.http);
+    caller.send_head(&format!("large/late/{SIZE_STEP}"), 5_000, 0);
+    thread::sleep(LATE_TIME / 2);
+    cluster.router.stall_trigger()(STALL_TIME);
+    assert!(cluster.sidecars[1].drain());
+    let text = caller.read_all();
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    assert_eq!(body.len(), SIZE_STEP, "{}", &text[..text.len().min(400)]);
+}
