Check again before an attempt is sent in a stop, and judge lateness by arrival

An attempt that was placed late in a graceful stop, after a wait in the queue or a failure, was sent whatever was left: its caller got 504 at the end of the stop, and the request had run once more for nothing. The check before an attempt only knew a process that ends already.

Call::run now asks whether the request's deadline, or its route's usual time, comes before the end of the stop. If not, a request that can't have run is refused with a retry time, and one that may have run ends as after a lost attempt. A stream in hand is continued as before: a try is better than a sure cut.

A table checks the bounds of an attempt.

--- a/src/pool/stop.rs
+++ b/src/pool/stop.rs
@@ -27,8 +27,9 @@
 /// assert_eq!(stop.end(), Duration::from_millis(67_500) - STOP_MARGIN);
 ///
 /// let (latest, expected) = (Duration::from_secs(69), Duration::from_secs(1));
-/// assert!(stop.admits(noticed, latest, expected));
-/// assert!(!stop.admits(Duration::from_secs(63), latest, expected));
+/// assert!(stop.admits(noticed, noticed, latest, expected));
+/// let late = Duration::from_secs(63);
+/// assert!(!stop.admits(late, late, latest, expected));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
@@ -57,13 +58,30 @@
         self.end
     }
 
-    /// Returns whether a request may begin that must have ended at `latest` and is expected to take
-    /// `expected`.
+    /// Returns whether a request may begin that arrived at `arrived` at the earliest, must have ended
+    /// at `latest` and is expected to take `expected`.
     ///
     /// While callers still come that have not been told of the stop, an expectation is enough. After
     /// that, only a request is admitted that ends by its deadline before the stop does.
-    pub fn admits(&self, now: Time, latest: Time, expected: Duration) -> bool {
-        let is_early = now < self.begun + ACCEPT_GRACE;
-        latest <= self.end || is_early && now + expected < self.end
+    pub fn admits(&self, now: Time, arrived: Time, latest: Time, expected: Duration) -> bool {
+        let is_early = arrived < self.begun + ACCEPT_GRACE;
+        latest <= self.end || is_early && self.fits(now, latest, expected)
+    }
+
+    /// Returns whether a request that has been admitted is expected to end in time if it is sent to a
+    /// target now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use redwingyard::pool::Stop;
+    ///
+    /// let begun = Duration::from_secs(60);
+    /// let stop = Stop::new(begun, begun, Duration::from_secs(8));
+    /// let (latest, expected) = (Duration::from_secs(72), Duration::from_secs(2));
+    /// assert!(stop.fits(Duration::from_secs(65), latest, expected));
+    /// assert!(!stop.fits(Duration::from_secs(66), latest, expected));
+    /// ```
+    pub fn fits(&self, now: Time, latest: Time, expected: Duration) -> bool {
+        latest <= self.end || now + expected < self.end
     }
 }
--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -86,10 +86,13 @@
     pub(super) resumable: bool,
     /// The earliest time at which it can have arrived.
     pub(super) arrived: Time,
-    /// How much later it may have arrived.
-    pub(super) unread: Duration,
     /// The earliest time at which the caller may stop waiting.
     pub(super) deadline: Time,
+    /// The latest time until which the caller may wait: the request may have arrived as late as it was
+    /// read.
+    pub(super) latest: Time,
+    /// The time that it is expected to take if no request of its route has ended so far.
+    pub(super) usual_limit: Duration,
     /// The connection's record of this request.
     pub(super) exchange: Rc<Exchange>,
     /// Tells whether the caller is still there.
@@ -127,9 +130,20 @@
         self.request.deadline.saturating_sub(now)
     }
 
-    /// Returns whether the caller may still wait, as the request may have arrived when it was read.
+    /// Returns whether the caller may still wait.
     fn is_wanted(&self) -> bool {
-        self.process.clock.now() < self.request.deadline + self.request.unread
+        self.process.clock.now() < self.request.latest
+    }
+
+    /// Returns whether an attempt that begins now is expected to end before this process does.
+    fn can_finish(&self) -> bool {
+        let CallerRequest {
+            route,
+            usual_limit,
+            latest,
+            ..
+        } = &self.request;
+        self.process.can_finish(route, *usual_limit, *latest)
     }
 
     /// Returns for how long the caller may have been gone: the time since it was last known to be
@@ -168,6 +182,7 @@
                 .observe_run(&self.request.route, self.elapsed());
         }
         let account = self.request.account.as_deref().unwrap_or("-");
+        let unread = self.request.latest - self.request.deadline;
         log::info!(
             "event=end request={} sequence={} account={account} route={} generation={} \
              outcome={outcome} took_ms={} left_ms={} unread_ms={}",
@@ -177,7 +192,7 @@
             self.process.rules().generation(),
             self.elapsed().as_millis(),
             self.time_left().as_millis(),
-            self.request.unread.as_millis(),
+            unread.as_millis(),
         );
     }
 
@@ -203,7 +218,7 @@
     pub(super) async fn run(mut self) -> Result<Response<Body>, CallerGone> {
         loop {
             let target = match self.next_decision().await {
-                Decision::Send(_) if self.process.is_closing() => {
+                Decision::Send(_) if !self.can_finish() => {
                     return Ok(self.refuse(Refusal::Stopping, STOP_RETRY));
                 }
                 Decision::Send(target) => target,
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -32,7 +32,10 @@
         Exchange,
         Stage, //
     },
-    process::Process,
+    process::{
+        Process,
+        usual_limit, //
+    },
     refusal::{
         FAULT_RETRY,
         STOP_RETRY,
@@ -163,7 +166,7 @@
     let budget = envelope.budget.unwrap_or(route.timeout());
     let deadline = arrived + budget.min(route.timeout());
     let latest = deadline + unread;
-    if !process.admits(route, latest) {
+    if !process.admits(route, arrived, latest) {
         return Err(refuse_stopping(process, &envelope));
     }
     let max_bytes = rules.limit(Limit::BodyBytes).unwrap_or(MAX_BODY as u64);
@@ -177,7 +180,8 @@
     };
     let body = read_body(process, &envelope, body, limit, watch).await?;
     // A stop may have begun while the body arrived.
-    if !process.admits(route, latest) {
+    let body_arrived = process.earliest_arrival(arrived);
+    if !process.admits(route, body_arrived, latest) {
         return Err(refuse_stopping(process, &envelope));
     }
     let spec = RequestSpec {
@@ -219,8 +223,9 @@
         stream: route.stream,
         resumable: route.repeat == RetryPolicy::Resume,
         arrived,
-        unread,
         deadline,
+        latest,
+        usual_limit: usual_limit(route),
         exchange: exchange.clone(),
         presence,
     };
--- a/src/shell/gateway/process.rs
+++ b/src/shell/gateway/process.rs
@@ -135,6 +135,15 @@
     Expire,
 }
 
+/// Returns the time that a request of a route usually takes at most: of one that is not a stream, the
+/// answer is expected within the latency objective.
+pub(super) fn usual_limit(route: &Route) -> Duration {
+    match route.stream {
+        true => route.timeout(),
+        false => route.objective(),
+    }
+}
+
 /// The state that a gateway's tasks share: settings, rules, the known targets, the pool's state
 /// machine, and the channels and connections that carry out its decisions.
 pub(super) struct Process {
@@ -439,20 +448,36 @@
         self.stop.get().map(|stop| stop.end())
     }
 
-    /// Returns whether a request of a route may begin that must have ended at `latest`.
-    pub(super) fn admits(&self, route: &Route, latest: Time) -> bool {
+    /// Returns whether a request of a route may begin that arrived at `arrived` at the earliest and
+    /// must have ended at `latest`.
+    pub(super) fn admits(&self, route: &Route, arrived: Time, latest: Time) -> bool {
         if self.is_closing() {
             return false;
         }
-        let Some(stop) = self.stop.get() else {
-            return true;
-        };
-        let unknown = match route.stream {
-            true => route.timeout(),
-            false => route.objective(),
-        };
-        let expected = self.run_times.borrow().expected(id(&route.name));
-        stop.admits(self.clock.now(), latest, expected.unwrap_or(unknown))
+        self.stop.get().is_none_or(|stop| {
+            let expected = self.expected_run(&route.name, usual_limit(route));
+            stop.admits(self.clock.now(), arrived, latest, expected)
+        })
+    }
+
+    /// Returns whether an attempt that begins now, for a request that must have ended at `latest`, is
+    /// expected to end before this process does; `limit` is the time that it takes at most if no
+    /// request of its route has ended so far.
+    pub(super) fn can_finish(&self, route: &str, limit: Duration, latest: Time) -> bool {
+        if self.is_closing() {
+            return false;
+        }
+        self.stop.get().is_none_or(|stop| {
+            let expected = self.expected_run(route, limit);
+            stop.fits(self.clock.now(), latest, expected)
+        })
+    }
+
+    /// Returns the time within which a request of a route is expected to end, or `limit` if none has
+    /// ended so far.
+    fn expected_run(&self, route: &str, limit: Duration) -> Duration {
+        let expected = self.run_times.borrow().expected(id(route));
+        expected.unwrap_or(limit)
     }
 
     /// Records how long a request of a route took from its arrival to the end of its answer.
--- a/tests/stop_admission.rs
+++ b/tests/stop_admission.rs
@@ -39,8 +39,10 @@
 struct Admission {
     /// How long the signal lay unnoticed, in milliseconds.
     late: u64,
-    /// When the request comes, in milliseconds since the signal.
+    /// When the request is read, in milliseconds since the signal.
     at: u64,
+    /// When it arrived at the earliest, in milliseconds since the signal.
+    arrived: u64,
     /// When it must have ended, in milliseconds since the signal.
     latest: u64,
     /// How long it is expected to take, in milliseconds.
@@ -52,6 +54,7 @@
 const EARLY: Admission = Admission {
     late: 0,
     at: 2_500,
+    arrived: 2_500,
     latest: 12_000,
     expected: 1_000,
     admitted: true,
@@ -60,6 +63,7 @@
 /// A request after that time.
 const LATE: Admission = Admission {
     at: 2_600,
+    arrived: 2_600,
     admitted: false,
     ..EARLY
 };
@@ -70,6 +74,7 @@
 #[case::early_and_as_long_as_the_rest(Admission { expected: 5_199, ..EARLY })]
 #[case::early_and_ends_by_its_deadline(Admission { expected: 9_000, latest: 7_700, ..EARLY })]
 #[case::late(LATE)]
+#[case::late_but_unread(Admission { at: 3_000, arrived: 2_599, admitted: true, ..EARLY })]
 #[case::late_and_short(Admission { expected: 1, ..LATE })]
 #[case::late_and_ends_by_its_deadline(Admission { latest: 7_700, admitted: true, ..LATE })]
 #[case::late_and_may_outlast_the_stop(Admission { latest: 7_701, ..LATE })]
@@ -82,10 +87,31 @@
     let after = |time| begun + Duration::from_millis(time);
     let stop = Stop::new(begun, after(case.late), Duration::from_secs(8));
     let expected = Duration::from_millis(case.expected);
-    let admitted = stop.admits(after(case.at), after(case.latest), expected);
+    let admitted = stop.admits(
+        after(case.at),
+        after(case.arrived),
+        after(case.latest),
+        expected,
+    );
     assert_eq!(admitted, case.admitted);
 }
 
+#[rstest]
+#[case::early(EARLY)]
+#[case::too_long(Admission { expected: 5_200, admitted: false, ..EARLY })]
+#[case::late(Admission { admitted: true, ..LATE })]
+#[case::late_and_too_long(Admission { expected: 5_100, ..LATE })]
+#[case::ends_by_its_deadline(Admission { expected: 9_000, latest: 7_700, admitted: true, ..LATE })]
+#[case::noticed_late(Admission { late: 500, expected: 4_600, ..LATE })]
+fn an_attempt_in_a_stop_is_made_if_it_can_be_expected_to_end(#[case] case: Admission) {
+    let begun = Duration::from_secs(60);
+    let after = |time| begun + Duration::from_millis(time);
+    let stop = Stop::new(begun, after(case.late), Duration::from_secs(8));
+    let expected = Duration::from_millis(case.expected);
+    let fits = stop.fits(after(case.at), after(case.latest), expected);
+    assert_eq!(fits, case.admitted);
+}
+
 struct Late {
     /// Distinguishes the settings files of the cases.
     name: &'static str,
@@ -126,7 +152,7 @@
     let request = |tokens: u32, budget: u32| {
         format!(
             "GET /stream/1 HTTP/1.1\r\nhost: a.example\r\ncredential: secret\r\n\
-             deadline: {budget}\r\nprompt-prefix: 1:{tokens}\r\nconnection: close\r\n\r\n"
+             deadline: {budget}\r\nprompt-prefix: {tokens}:{tokens}\r\nconnection: close\r\n\r\n"
         )
     };
     let send = |mut caller: &TcpStream, text: &str| {
