Start patient gateways and signal processes in one place of the tests

Five test files set up the same configuration with long limits of time, and sent signals by the same lines.

--- a/tests/child/mod.rs
+++ b/tests/child/mod.rs
@@ -26,6 +26,11 @@
     GatewaySettings,
     RouterSettings, //
 };
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
 use serde::Serialize;
 
 use crate::net::eventually;
@@ -100,6 +105,13 @@
         process
     }
 
+    /// Sends the process a signal. If it has ended, nothing happens.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("the process has an id");
+        // Fails if the process has ended, which its connections show.
+        let _ = kill_process(pid, signal);
+    }
+
     /// Returns the answer of the admin interface to a request, or an empty text if it has none.
     pub fn page(&self, path: &str) -> String {
         let mut text = String::new();
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -74,6 +74,23 @@
         (net, settings)
     }
 
+    /// Starts a gateway whose limits of time do not end a request or a connection before a stop does,
+    /// and returns its settings, with which another can be started.
+    pub fn start_patient() -> (Self, GatewaySettings) {
+        let (net, settings) = Self::start_with_settings(1);
+        let mut config = config(2, &["secret"]);
+        let routes = config["routes"].as_array_mut().expect("routes are a list");
+        for route in routes {
+            route["timeoutMs"] = json!(12_000);
+        }
+        config["limits"]["idleTimeoutMs"] = json!(20_000);
+        net.0.items.put("op/config", &config);
+        eventually("the configuration is in force", || {
+            net.status(0)["generation"] == 2
+        });
+        (net, settings)
+    }
+
     /// Publishes a version of the configuration with the API keys of the account.
     pub fn configure(&self, version: u64, keys: &[&str]) {
         self.0.items.put("op/config", &config(version, keys));
