--- a/src/shell/gateway/call.rs
+++ b/src/shell/gateway/call.rs
@@ -196,9 +196,10 @@
         );
     }
 
-    /// Ends the request for its deadline, and counts it if the caller may still wait.
+    /// Ends the request for its deadline, or as this process ends. Counts it if neither is a reason yet:
+    /// the caller may still wait.
     pub(super) fn end_late(&mut self, outcome: &str) {
-        if !self.ended && self.is_wanted() {
+        if !self.ended && self.is_wanted() && !self.process.is_closing() {
             self.process.metrics.count_early_end(outcome);
         }
         self.end(outcome, false);
