Let a stop last five sixths of its time though its signal was noticed late

Callers of a gateway that notices its signal more than 0.5 s late would have had their streams ended over 1 s before the process is killed, since that lateness was counted twice: once for when the signal may have come, once in reserve for the end.

The reserve now gives way where less than five sixths of the timeout would remain from when the signal was noticed, which also takes the place of the limit of half of the rest.

--- a/src/pool/stop.rs
+++ b/src/pool/stop.rs
@@ -12,6 +12,10 @@
 /// the second one.
 pub const ACCEPT_GRACE: Duration = Duration::from_millis(2_600);
 
+/// The fraction of the stop timeout that a stop lasts at least, if its signal was not noticed too late:
+/// operators expect requests in hand to have nearly all of it.
+const LEAST_FRACTION: (u32, u32) = (5, 6);
+
 /// The time between the earliest date of the signal of a stop and the last moment at which requests
 /// may end.
 ///
@@ -41,15 +45,16 @@
     /// Creates the bounds of a stop whose signal came at `begun` at the earliest and was noticed at
     /// `noticed`. The process is killed `timeout` after the signal.
     ///
-    /// As much time as the signal lay unnoticed is reserved at the end, but at most half of what is
-    /// left.
+    /// As much time as the signal lay unnoticed is reserved at the end, so far as [`LEAST_FRACTION`] of the
+    /// timeout remains from when it was noticed.
     pub fn new(begun: Time, noticed: Time, timeout: Duration) -> Self {
         let end = begun + timeout.saturating_sub(STOP_MARGIN);
         let late = noticed.saturating_sub(begun);
-        let left = end.saturating_sub(noticed);
+        let (numerator, denominator) = LEAST_FRACTION;
+        let least = noticed + timeout * numerator / denominator;
         Self {
             begun,
-            end: end - late.min(left / 2),
+            end: end.saturating_sub(late).max(least.min(end)),
         }
     }
 
