Ask for a margin of requests that may have been sent late in a stop

A late gateway admitted by its expected time a request that it read up to its lateness after the time in which callers still come, because the earliest arrival decided: the same fault as that of the deadlines, on the other side.

A request whose two bounds lie on either side of that time must now fit with twice its expected time. Short ones are admitted as before, which tests/closes.rs asks for (requests_that_arrive_while_the_gateway_stalls_are_answered::case_8_last_callers); streams that may outlast the stop are refused. The new case of tests/stop_admission.rs, late_but_unread_and_long, is admitted without it.

--- a/src/pool/stop.rs
+++ b/src/pool/stop.rs
@@ -16,6 +16,10 @@
 /// operators expect requests in hand to have nearly all of it.
 const LEAST_FRACTION: (u32, u32) = (5, 6);
 
+/// The multiple of its expected time that must be left of a stop for a request which may have been sent
+/// after the time in which callers still come.
+const CAUTION: u32 = 2;
+
 /// The time between the earliest date of the signal of a stop and the last moment at which requests
 /// may end.
 ///
@@ -66,11 +70,13 @@
     /// Returns whether a request may begin that arrived at `arrived` at the earliest, must have ended
     /// at `latest` and is expected to take `expected`.
     ///
-    /// While callers still come that have not been told of the stop, an expectation is enough. After
-    /// that, only a request is admitted that ends by its deadline before the stop does.
+    /// For [`ACCEPT_GRACE`], in which callers still come that have not been told of the stop, an expectation
+    /// is enough. After that, only a request is admitted that ends by its deadline before the stop does. One
+    /// that may have arrived before or after must fit with a margin.
     pub fn admits(&self, now: Time, arrived: Time, latest: Time, expected: Duration) -> bool {
-        let is_early = arrived < self.begun + ACCEPT_GRACE;
-        latest <= self.end || is_early && self.fits(now, latest, expected)
+        let grace_end = self.begun + ACCEPT_GRACE;
+        let margin = if now < grace_end { 1 } else { CAUTION };
+        latest <= self.end || arrived < grace_end && self.fits(now, latest, expected * margin)
     }
 
     /// Returns whether a request that has been admitted is expected to end in time if it is sent to a
--- a/tests/stop_admission.rs
+++ b/tests/stop_admission.rs
@@ -66,6 +66,7 @@
 #[case::early_and_ends_by_its_deadline(Admission { expected: 9_000, latest: 7_700, ..EARLY })]
 #[case::late(LATE)]
 #[case::late_but_unread(Admission { at: 3_000, arrived: 2_599, admitted: true, ..EARLY })]
+#[case::late_but_unread_and_long(Admission { at: 3_000, arrived: 2_599, expected: 2_400, admitted: false, ..EARLY })]
 #[case::late_and_short(Admission { expected: 1, ..LATE })]
 #[case::late_and_ends_by_its_deadline(Admission { latest: 7_700, admitted: true, ..LATE })]
 #[case::late_and_may_outlast_the_stop(Admission { latest: 7_701, ..LATE })]
