--- a/src/pool/stop.rs
+++ b/src/pool/stop.rs
@@ -49,8 +49,8 @@
     /// Creates the bounds of a stop whose signal came at `begun` at the earliest and was noticed at
     /// `noticed`. The process is killed `timeout` after the signal.
     ///
-    /// As much time as the signal lay unnoticed is reserved at the end, so far as [`LEAST_FRACTION`] of the
-    /// timeout remains from when it was noticed.
+    /// As much time as the signal lay unnoticed is reserved at the end, so far as five sixths of the timeout
+    /// remain from when it was noticed.
     pub fn new(begun: Time, noticed: Time, timeout: Duration) -> Self {
         let end = begun + timeout.saturating_sub(STOP_MARGIN);
         let late = noticed.saturating_sub(begun);
