Show that prompts of many parts exceed a gateway's memory

Requests inside the limits, with 2,500 parts each, take about 100 KB more than the memory budget counts, and fill the estimates of the engines' caches with short parts. Two gateways of 110 MB exceed their memory three times each within seconds.

--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -1,6 +1,7 @@
 mod crowd;
 mod gateway;
 mod http;
+mod memory;
 mod runner;
 mod setup;
 mod store;
@@ -45,6 +46,7 @@
         record: String::new(),
     };
     let outcome = match case.as_str() {
+        "memory" => memory::run(&mut run),
         "crowd" => crowd::run(&mut run),
         other => {
             eprintln!("no case {other}");
