Show that prompts of many parts stop the event loop

Placement looks up all parts for each engine, waiting request and account whenever a request ends. The event loop stands still for seconds, and ordinary callers of another, idle service get no answer.

--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -2,6 +2,7 @@
 mod gateway;
 mod http;
 mod memory;
+mod parts;
 mod runner;
 mod setup;
 mod store;
@@ -48,6 +49,7 @@
     let outcome = match case.as_str() {
         "memory" => memory::run(&mut run),
         "crowd" => crowd::run(&mut run),
+        "parts" => parts::run(&mut run),
         other => {
             eprintln!("no case {other}");
             Outcome::Failed
