Show that requests wait behind a long body and reach a draining runner

A runner that has answered a long request early reads the rest of its body later. The gateway gives the connection to the next request at once, which waits there and reaches the runner seconds after that has reported that it drains.

--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -1,4 +1,5 @@
 mod crowd;
+mod drain;
 mod gateway;
 mod http;
 mod memory;
@@ -48,6 +49,7 @@
     };
     let outcome = match case.as_str() {
         "memory" => memory::run(&mut run),
+        "drain" => drain::run(&mut run),
         "crowd" => crowd::run(&mut run),
         "parts" => parts::run(&mut run),
         other => {
