Show that kept connections keep the old limit on heads

A configuration that raises maxHeaderBytes does not apply to connections that are open: their requests get 431 for as long as callers keep them.

--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -2,6 +2,7 @@
 mod drain;
 mod gateway;
 mod http;
+mod limits;
 mod memory;
 mod parts;
 mod runner;
@@ -51,6 +52,7 @@
         "memory" => memory::run(&mut run),
         "drain" => drain::run(&mut run),
         "crowd" => crowd::run(&mut run),
+        "limits" => limits::run(&mut run),
         "parts" => parts::run(&mut run),
         other => {
             eprintln!("no case {other}");
