Show that paths of slashes stop the event loop

The route of a path is looked up at each of its slashes, and each look-up hashes the path up to there. A path of 16,000 slashes, inside the limit on heads, takes some 40 ms; 150 callers without a key keep a gateway from answering anybody else.

--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -2,11 +2,12 @@
 mod drain;
 mod gateway;
 mod http;
-mod limits;
 mod memory;
+mod ordinary;
 mod parts;
 mod runner;
 mod setup;
+mod slashes;
 mod store;
 
 use std::{env, fs, path::PathBuf, process::ExitCode};
@@ -52,8 +53,8 @@
         "memory" => memory::run(&mut run),
         "drain" => drain::run(&mut run),
         "crowd" => crowd::run(&mut run),
-        "limits" => limits::run(&mut run),
         "parts" => parts::run(&mut run),
+        "slashes" => slashes::run(&mut run),
         other => {
             eprintln!("no case {other}");
             Outcome::Failed
--- a/review/rig-3/src/parts.rs
+++ b/review/rig-3/src/parts.rs
@@ -1,7 +1,7 @@
 //! Prompts of many parts that are all the same, and ordinary callers of another service beside them.
 
 use std::{
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -13,6 +13,7 @@
 use crate::{
     Outcome, Run,
     http::Conn,
+    ordinary::{Calls, ORDINARY, TIMEOUT_MS, ask},
     runner::{self, Arrival, Runner},
     setup::{self, Arrivals},
 };
@@ -22,8 +23,6 @@
 const SLOTS: u32 = 128;
 const KV_TOKENS: u32 = 960_364;
 const PLAIN: usize = 3;
-const TIMEOUT_MS: u32 = 1_200;
-const BUDGET_MS: u32 = 2_500;
 const MEMORY_MB: u32 = 260;
 /// The keys of the 16 tenants.
 const KEYS: [&str; 16] = [
@@ -31,20 +30,9 @@
     "k13", "k14", "k15",
 ];
 const CALLERS: usize = 600;
-const ORDINARY: usize = 20;
 const MANY_PARTS: usize = 2_500;
 const FEW_PARTS: usize = 3;
 const LENGTH: Duration = Duration::from_secs(25);
-/// The time from the start from which on ordinary calls count: `contactMs`.
-const WARM: u128 = 3_000;
-
-/// One call of an ordinary caller.
-struct Call {
-    began: u128,
-    took: u128,
-    /// The status; 0 if the caller gave up at its time budget.
-    status: u16,
-}
 
 fn prompt(id: &str, key: &str, parts: usize) -> String {
     let list: Vec<_> = (0..parts).map(|i| format!("{i:x}:1")).collect();
@@ -57,17 +45,6 @@
     )
 }
 
-fn ask(conn: &mut Conn, text: &str) -> u16 {
-    let answer = conn.send(text.as_bytes()).and_then(|()| conn.head());
-    let Ok(Some(head)) = answer else {
-        return 0;
-    };
-    match conn.body(&head, false).1 {
-        true => head.status(),
-        false => 0,
-    }
-}
-
 /// Sends prompts one after the other.
 fn prompting(front: SocketAddr, end: Instant, i: usize, parts: usize, counts: &[AtomicU64; 3]) {
     let mut serial = 0;
@@ -98,37 +75,6 @@
     }
 }
 
-/// Asks for a chart again and again, and gives each call up at its time budget.
-fn ordinary(front: SocketAddr, start: Instant, end: Instant, i: usize) -> Vec<Call> {
-    let budget = Duration::from_millis(u64::from(BUDGET_MS));
-    let (mut calls, mut serial, mut kept) = (Vec::new(), 0, None);
-    while Instant::now() < end {
-        serial += 1;
-        let began = Instant::now();
-        let conn = kept.take().or_else(|| {
-            let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok()?;
-            Some(Conn::new(stream))
-        });
-        let status = conn.map_or(0, |mut conn| {
-            let _ = conn.stream.set_read_timeout(Some(budget.saturating_sub(began.elapsed()).max(Duration::from_millis(1))));
-            let text = format!(
-                "GET /lookup/2f HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: o{i}-{serial}\r\nDeadline: {BUDGET_MS}\r\nCredential: {}\r\n\r\n",
-                KEYS[i % KEYS.len()]
-            );
-            let status = ask(&mut conn, &text);
-            kept = (status != 0).then_some(conn);
-            status
-        });
-        calls.push(Call {
-            began: (began - start).as_millis(),
-            took: began.elapsed().as_millis(),
-            status,
-        });
-        thread::sleep(Duration::from_millis(100));
-    }
-    calls
-}
-
 pub fn run(run: &mut Run) -> Outcome {
     let parts = if run.trouble { MANY_PARTS } else { FEW_PARTS };
     let (store, address) = setup::store();
@@ -175,43 +121,12 @@
         let small = thread::Builder::new().stack_size(128 << 10);
         let _ = small.spawn(move || prompting(front, end, i, parts, &counts));
     }
-    let callers: Vec<_> = (0..ORDINARY)
-        .map(|i| thread::spawn(move || ordinary(front, start, end, i)))
-        .collect();
-    let mut calls: Vec<_> = callers
-        .into_iter()
-        .flat_map(|caller| caller.join().unwrap_or_default())
-        .collect();
-    calls.sort_by_key(|call| call.began);
-    for call in &calls {
-        let what = if call.status == 0 {
-            "no answer".to_owned()
-        } else {
-            call.status.to_string()
-        };
-        run.record.push_str(&format!(
-            "ordinary call at {} ms: {what} after {} ms\n",
-            call.began, call.took
-        ));
-    }
-    let counted: Vec<_> = calls.iter().filter(|call| call.began >= WARM).collect();
-    let timeout = u128::from(TIMEOUT_MS);
-    let without = |limit: u128| counted.iter().filter(|call| call.took > limit).count();
-    let (at, later) = (without(timeout), without(timeout + 500));
-    let good = counted.iter().filter(|call| call.status == 200).count();
-    let longest = calls.iter().map(|call| call.took).max().unwrap_or(0);
+    let calls = Calls::make(front, start, end, &KEYS);
+    calls.note(run);
     let [answered, refused, broken] = [0, 1, 2].map(|i| counts[i].load(Ordering::Relaxed));
     run.note(&format!("prompts: {answered} answered, {refused} refused, {broken} broken off; {} requests reached runners", arrivals.lock().unwrap().len()));
-    run.note(&format!(
-        "ordinary calls: {}, {good} answered with success, the longest took {longest} ms",
-        counted.len()
-    ));
-    run.note(&format!("{at} had no answer at their route's timeout of {TIMEOUT_MS} ms, and {later} of them none half a second later"));
-    if gateway.has_ended() || good == 0 && !run.trouble {
+    if gateway.has_ended() {
         return Outcome::Failed;
     }
-    match later >= 8 && later * 2 > at {
-        true => Outcome::Broken,
-        false => Outcome::Held,
-    }
+    calls.judge(run)
 }
