--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -3,6 +3,8 @@
 mod http;
 mod ordinary;
 mod parts;
+mod proxy;
+mod reborn;
 mod runner;
 mod setup;
 mod slashes;
@@ -49,6 +51,7 @@
     };
     let outcome = match case.as_str() {
         "drain" => drain::run(&mut run),
+        "reborn" => reborn::run(&mut run),
         "parts" => parts::run(&mut run),
         "slashes" => slashes::run(&mut run),
         other => {
