Show that a gateway started while the store is away takes a revoked key

A gateway that is killed as the store goes away for 2 s takes the older copy for the newest until another gateway tells it otherwise: single requests run with a key that was taken away more than 7 s before.

--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -1,6 +1,7 @@
 mod drain;
 mod gateway;
 mod http;
+mod listen;
 mod ordinary;
 mod parts;
 mod proxy;
@@ -52,6 +53,7 @@
     let outcome = match case.as_str() {
         "drain" => drain::run(&mut run),
         "reborn" => reborn::run(&mut run),
+        "listen" => listen::run(&mut run),
         "parts" => parts::run(&mut run),
         "slashes" => slashes::run(&mut run),
         other => {
