--- a/review/rig-3/src/parts.rs
+++ b/review/rig-3/src/parts.rs
@@ -19,9 +19,9 @@
 };
 
 /// The figures of the sheet.
-const ENGINES: usize = 9;
-const SLOTS: u32 = 128;
-const KV_TOKENS: u32 = 960_364;
+const ENGINES: usize = 18;
+const SLOTS: u32 = 64;
+const KV_TOKENS: u32 = 578_068;
 const PLAIN: usize = 3;
 const MEMORY_MB: u32 = 260;
 /// The keys of the 16 tenants.
@@ -82,7 +82,7 @@
     for i in 0..ENGINES + PLAIN {
         let is_engine = i < ENGINES;
         let answer = move |_: &Runner, arrival: &Arrival, conn: &mut Conn| match is_engine {
-            true => runner::stream(conn, &arrival.id, 10, Duration::from_millis(50)),
+            true => runner::stream(conn, &arrival.id, 4, Duration::from_millis(50)),
             false => runner::whole(conn, &arrival.id, 800),
         };
         let id = format!("i-{i:08x}");
