Let one of eight runners leave in the case on the drain

It has eight runners now, and bodies of 1,000,000 in place of 4,000,000 bytes; the check is as before.

--- a/review/rig-3/src/drain.rs
+++ b/review/rig-3/src/drain.rs
@@ -13,13 +13,14 @@
     setup::{self, Arrivals},
 };
 
-const LONG: usize = 4_000_000;
-const LONGS: usize = 6;
-const SHORTS: usize = 12;
+const RUNNERS: usize = 8;
+const LONG: usize = 1_000_000;
+const LONGS: usize = 24;
+const SHORTS: usize = 48;
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// The part of a long body that a runner reads at a time once it has answered, and the pause between.
 const PART: usize = 64 << 10;
-const PAUSE: Duration = Duration::from_millis(80);
+const PAUSE: Duration = Duration::from_millis(300);
 
 fn request(id: &str, body: usize) -> Vec<u8> {
     let head = format!(
@@ -54,7 +55,7 @@
     let (store, address) = setup::store();
     let arrivals: Arrivals = Arc::default();
     let mut runners = Vec::new();
-    for i in 0..2 {
+    for i in 0..RUNNERS {
         let answer =
             |_: &Runner, arrival: &Arrival, conn: &mut Conn| runner::whole(conn, &arrival.id, 800);
         let id = format!("i-{i:08x}");
